Rename the project to steprelay and split its settings reader into a crate

The module is now steprelay-decisions, its adapter steprelay-benchlink. The reader of the settings object and the names of report fields moved from the adapter to steprelay-settings, since the call agent is given the same object. No decision is changed.

--- /dev/null
+++ b/settings/src/lib.rs
@@ -0,0 +1,123 @@
+//! Reads the settings object that a call agent and the simulator's adapter are both given.
+//!
+//! Unknown keys are skipped and missing ones stay at "not told", so that a deployment may add keys.
+
+use serde_json::Value;
+use steprelay_decisions::{Class, Limits, Micros, Report, Rules, Settings, Tenant};
+
+pub fn micros(millis: f64) -> Micros {
+    (millis * 1000.0).round() as Micros
+}
+
+fn number(value: &Value) -> f64 {
+    value.as_f64().unwrap_or_default()
+}
+
+fn time(value: &Value) -> Micros {
+    micros(number(value))
+}
+
+fn count(value: &Value) -> u32 {
+    value.as_u64().and_then(|count| count.try_into().ok()).unwrap_or_default()
+}
+
+fn flag(value: &Value) -> bool {
+    value.as_bool().unwrap_or_default()
+}
+
+fn list(value: &Value) -> &[Value] {
+    value.as_array().map_or(&[], Vec::as_slice)
+}
+
+/// What the decisions need to know of the settings.
+pub fn decisions(all: &Value) -> Settings {
+    let (limits, rules, facts) = (&all["policyLimits"], &all["rules"], &all["specifics"]);
+    let (allowed, holds) = (list(&facts["allowedPools"]), list(&facts["meanHoldMs"]));
+    let class = |(place, class): (usize, &Value)| Class {
+        aim: time(&class["sloMs"]),
+        importance: number(&class["importance"]),
+        late_share: number(&class["lateShare"]),
+        repeatable: class["idempotency"].as_str() == Some("idempotent"),
+        servers: allowed
+            .get(place)
+            .and_then(Value::as_array)
+            .map(|numbers| numbers.iter().filter_map(Value::as_u64).map(|number| number as u32).collect()),
+        hold: holds.get(place).map_or(0, time),
+    };
+    Settings {
+        group_size: count(&all["groupSize"]),
+        me: count(&all["me"]),
+        classes: list(&all["services"]).iter().enumerate().map(class).collect(),
+        tenants: list(&all["parties"])
+            .iter()
+            .map(|tenant| Tenant { quota_per_s: number(&tenant["quotaRps"]) })
+            .collect(),
+        over_share_worth: number(&all["overShareWorth"]),
+        ask_for_list: all["discovery"].as_str() == Some("subscribe"),
+        limits: Limits {
+            cancel: flag(&limits["cancel"]),
+            peers: flag(&limits["peers"]),
+            probes: flag(&limits["mayProbe"]),
+            retry_after: flag(&limits["retryAfter"]),
+            max_retry_after: time(&limits["maxRetryAfterMs"]),
+            attempts: count(&limits["tryLimit"]),
+        },
+        rules: Rules {
+            ask_every: time(&rules["askEveryMs"]),
+            start_capacity: number(&rules["startCapacity"]),
+            ramp_time: time(&rules["rampTimeMs"]),
+            fall_multiple: number(&rules["fallMultiple"]),
+            fall: time(&rules["fallMs"]),
+        },
+        release: time(&facts["clearWaitMs"]),
+        t1: time(&facts["t1Ms"]),
+        marks_retry: flag(&all["clientHabits"]["marksRetry"]),
+        home: facts["homeNo"].as_u64().map(|home| home as u32),
+    }
+}
+
+/// The rest of the settings, which only a program on real sockets needs.
+#[derive(Clone, Debug, Default)]
+pub struct Site {
+    pub decisions: Settings,
+    pub class_names: Vec<String>,
+    pub tenant_names: Vec<String>,
+    pub dial_timeout: Micros,
+    /// Connections idle for this long are closed by the other side.
+    pub conn_idle: Micros,
+    /// How many requests may be open at once.
+    pub max_open: usize,
+    /// How long after a notice a draining server may still be sent set-ups.
+    pub drain_grace: Micros,
+}
+
+pub fn site(all: &Value) -> Site {
+    let names = |value: &Value| {
+        list(value).iter().map(|named| named["name"].as_str().unwrap_or_default().to_string()).collect()
+    };
+    let limits = &all["policyLimits"];
+    Site {
+        decisions: decisions(all),
+        class_names: names(&all["services"]),
+        tenant_names: names(&all["parties"]),
+        dial_timeout: time(&limits["dialTimeoutMs"]),
+        conn_idle: time(&limits["connIdleMs"]),
+        max_open: count(&limits["maxOpen"]) as usize,
+        drain_grace: time(&all["rules"]["stopSendingWithinMs"]),
+    }
+}
+
+/// Where a report keeps the figure of this name. The first of each pair is the simulator's name.
+pub fn report_slot<'a>(report: &'a mut Report, name: &str) -> Option<&'a mut Option<f64>> {
+    Some(match name {
+        "spare" | "x0" => &mut report.free,
+        "total" | "x1" => &mut report.size,
+        "rif" | "inflight" => &mut report.inflight,
+        "q" | "queue" => &mut report.queue,
+        "busy" | "util" => &mut report.busy,
+        "lat_ms" | "latency_ms" => &mut report.wait_ms,
+        "allowed" | "qps" => &mut report.allowed,
+        "cut_by" | "eps" => &mut report.hold_back,
+        _ => return None,
+    })
+}
--- a/simhost/src/main.rs
+++ b/simhost/src/main.rs
@@ -7,7 +7,7 @@
 use std::panic::{catch_unwind, AssertUnwindSafe};
 use std::process::ExitCode;
 
-use wicknotch::{Action, Controller, Entry, Event, Micros};
+use steprelay_decisions::{Action, Controller, Entry, Event, Micros};
 use wire::{Bad, Fields};
 
 #[derive(Default)]
@@ -81,7 +81,7 @@
     fn event(&mut self, name: &str, fields: &mut Fields, out: &mut String) -> Result<(), Bad> {
         if !wire::EVENTS.contains(&name) {
             if self.unknown.insert(name.to_string()) {
-                eprintln!("wicknotch-simhost: unknown message '{}' skipped", name.escape_debug());
+                eprintln!("steprelay-benchlink: unknown message '{}' skipped", name.escape_debug());
             }
             return Ok(());
         }
@@ -93,7 +93,7 @@
                 let kind = wire::list_kind(fields.text("mode")?)?;
                 fields.text("version")?;
                 let entries = match kind {
-                    wicknotch::ListKind::Refused => &[],
+                    steprelay_decisions::ListKind::Refused => &[],
                     _ => {
                         let list: u32 = fields.number("ref")?;
                         self.lists.get(&list).ok_or_else(|| Bad::new("ref", "no such list"))?.as_slice()
@@ -141,7 +141,7 @@
             Ok(0) => break,
             Ok(_) => {}
             Err(error) => {
-                eprintln!("wicknotch-simhost: line {number}: cannot read: {error}");
+                eprintln!("steprelay-benchlink: line {number}: cannot read: {error}");
                 return ExitCode::FAILURE;
             }
         }
@@ -152,13 +152,13 @@
             Ok(false) => {}
             Ok(true) => {
                 if output.write_all(reply.as_bytes()).and_then(|()| output.flush()).is_err() {
-                    eprintln!("wicknotch-simhost: line {number}: the reply cannot be written");
+                    eprintln!("steprelay-benchlink: line {number}: the reply cannot be written");
                     return ExitCode::FAILURE;
                 }
                 reply.clear();
             }
             Err(bad) => {
-                eprintln!("wicknotch-simhost: line {number}: field '{}': {}", bad.field, bad.why);
+                eprintln!("steprelay-benchlink: line {number}: field '{}': {}", bad.field, bad.why);
                 return ExitCode::FAILURE;
             }
         }
--- a/simhost/src/wire.rs
+++ b/simhost/src/wire.rs
@@ -5,11 +5,11 @@
 
 use base64::engine::general_purpose::STANDARD;
 use base64::Engine;
-use serde_json::Value;
-use wicknotch::{
-    Action, Call, CallId, Cause, Class, End, Entry, Event, Limits, ListKind, Micros, Outcome, Readiness,
-    Report, Rules, ServerId, Settings, Tenant, Timer,
+use steprelay_decisions::{
+    Action, Call, CallId, Cause, End, Entry, Event, ListKind, Micros, Outcome, Readiness, Report, ServerId,
+    Settings, Timer,
 };
+use steprelay_settings::micros;
 
 /// What is wrong with a line: the field and the reason.
 #[derive(Debug)]
@@ -119,18 +119,9 @@
             let Some((name, value)) = pair.split_once(':') else {
                 return Err(Bad::new(field, "not name:value pairs"));
             };
-            let slot = match name {
-                "spare" => &mut report.free,
-                "total" => &mut report.size,
-                "rif" => &mut report.inflight,
-                "q" => &mut report.queue,
-                "busy" => &mut report.busy,
-                "lat_ms" => &mut report.wait_ms,
-                "allowed" => &mut report.allowed,
-                "cut_by" => &mut report.hold_back,
-                _ => continue,
-            };
-            *slot = Some(parse(field, value)?);
+            if let Some(slot) = steprelay_settings::report_slot(&mut report, name) {
+                *slot = Some(parse(field, value)?);
+            }
         }
         Ok(report)
     }
@@ -140,10 +131,6 @@
     value.parse().map_err(|_| Bad::new(field, format!("'{}' is no such number", value.escape_debug())))
 }
 
-fn micros(millis: f64) -> Micros {
-    (millis * 1000.0).round() as Micros
-}
-
 pub fn entry(fields: &mut Fields) -> Result<Entry, Bad> {
     let server = fields.server("server")?;
     let started = fields.number_or("cameUpMs", 0.0)?;
@@ -258,57 +245,10 @@
     })
 }
 
-/// Reads the settings; unknown keys are skipped, missing ones stay at "not told".
+/// Reads the settings from the first message's text.
 pub fn settings(text: &str) -> Result<Settings, Bad> {
-    let all: Value = serde_json::from_str(text).map_err(|error| Bad::new("setup", error.to_string()))?;
-    let number = |value: &Value| value.as_f64().unwrap_or_default();
-    let count = |value: &Value| value.as_u64().and_then(|count| count.try_into().ok()).unwrap_or_default();
-    let time = |value: &Value| micros(value.as_f64().unwrap_or_default());
-    let flag = |value: &Value| value.as_bool().unwrap_or_default();
-    let list = |value: &Value| value.as_array().cloned().unwrap_or_default();
-    let (limits, rules, facts) = (&all["policyLimits"], &all["rules"], &all["specifics"]);
-    let (allowed, holds) = (list(&facts["allowedPools"]), list(&facts["meanHoldMs"]));
-    let class = |(place, class): (usize, &Value)| Class {
-        aim: time(&class["sloMs"]),
-        importance: number(&class["importance"]),
-        late_share: number(&class["lateShare"]),
-        repeatable: class["idempotency"].as_str() == Some("idempotent"),
-        servers: allowed
-            .get(place)
-            .and_then(Value::as_array)
-            .map(|numbers| numbers.iter().filter_map(Value::as_u64).map(|number| number as u32).collect()),
-        hold: holds.get(place).map_or(0, time),
-    };
-    Ok(Settings {
-        group_size: count(&all["groupSize"]),
-        me: count(&all["me"]),
-        classes: list(&all["services"]).iter().enumerate().map(class).collect(),
-        tenants: list(&all["parties"])
-            .iter()
-            .map(|tenant| Tenant { quota_per_s: number(&tenant["quotaRps"]) })
-            .collect(),
-        over_share_worth: number(&all["overShareWorth"]),
-        ask_for_list: all["discovery"].as_str() == Some("subscribe"),
-        limits: Limits {
-            cancel: flag(&limits["cancel"]),
-            peers: flag(&limits["peers"]),
-            probes: flag(&limits["mayProbe"]),
-            retry_after: flag(&limits["retryAfter"]),
-            max_retry_after: time(&limits["maxRetryAfterMs"]),
-            attempts: count(&limits["tryLimit"]),
-        },
-        rules: Rules {
-            ask_every: time(&rules["askEveryMs"]),
-            start_capacity: number(&rules["startCapacity"]),
-            ramp_time: time(&rules["rampTimeMs"]),
-            fall_multiple: number(&rules["fallMultiple"]),
-            fall: time(&rules["fallMs"]),
-        },
-        release: time(&facts["clearWaitMs"]),
-        t1: time(&facts["t1Ms"]),
-        marks_retry: flag(&all["clientHabits"]["marksRetry"]),
-        home: facts["homeNo"].as_u64().map(|home| home as u32),
-    })
+    let all = serde_json::from_str(text).map_err(|error| Bad::new("setup", error.to_string()))?;
+    Ok(steprelay_settings::decisions(&all))
 }
 
 /// Appends the line of an action.
--- a/simhost/tests/wire.rs
+++ b/simhost/tests/wire.rs
@@ -11,7 +11,7 @@
 );
 
 fn run(input: &str) -> Output {
-    let mut child = Command::new(env!("CARGO_BIN_EXE_wicknotch-simhost"))
+    let mut child = Command::new(env!("CARGO_BIN_EXE_steprelay-benchlink"))
         .stdin(Stdio::piped())
         .stdout(Stdio::piped())
         .stderr(Stdio::piped())
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -5,7 +5,7 @@
 //! same actions.
 //!
 //! ```
-//! use wicknotch::*;
+//! use steprelay_decisions::*;
 //!
 //! let settings = Settings {
 //!     group_size: 1,
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -1,7 +1,7 @@
 //! A small stand for one controller: settings, a clock and what was sent.
 #![allow(dead_code)]
 
-use wicknotch::*;
+use steprelay_decisions::*;
 
 pub const MS: Micros = 1_000;
 pub const SECOND: Micros = 1_000_000;
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -3,7 +3,7 @@
 mod common;
 
 use common::*;
-use wicknotch::*;
+use steprelay_decisions::*;
 
 fn tick(stand: &mut Stand) -> Vec<Action> {
     stand.event(Event::Timer(Timer::Tick))
--- a/tests/gapping.rs
+++ b/tests/gapping.rs
@@ -3,7 +3,7 @@
 mod common;
 
 use common::*;
-use wicknotch::*;
+use steprelay_decisions::*;
 
 /// Calls that are sent out of ten a second for a second.
 fn sent_in_a_second(stand: &mut Stand, class: usize) -> usize {
--- a/tests/group.rs
+++ b/tests/group.rs
@@ -5,7 +5,7 @@
 use std::collections::VecDeque;
 
 use common::*;
-use wicknotch::*;
+use steprelay_decisions::*;
 
 const STEP: Micros = 10 * MS;
 const HOLD: Micros = 8 * SECOND;
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -5,7 +5,7 @@
 use std::collections::BTreeMap;
 
 use common::*;
-use wicknotch::*;
+use steprelay_decisions::*;
 
 #[test]
 fn a_call_that_timed_out_is_answered_at_once_and_only_once() {
