--- a/agent/src/config.rs
+++ b/agent/src/config.rs
@@ -190,7 +190,8 @@
         let first = notice(true, &[target("s-0000000a", "up"), target("s-0000000b", "up")]);
         let then = notice(false, &[target("s-0000000a", "draining"), target("s-0000000b", "removed")]);
         let text = format!(
-            r#"{{"listen":"127.0.0.1:0","seed":"8c1f30d27a5be964","known":{{"rev":7,"notices":[{first},{then}]}},
+            r#"{{"listen":"127.0.0.1:0","seed":"8c1f30d27a5be964",
+                "known":{{"rev":7,"notices":[{first},{then}]}},
                 "settings":{{"services":[{{"name":"voice"}}]}}}}"#
         );
         let config = read(&text).expect("well formed");
--- a/agent/src/net/owner.rs
+++ b/agent/src/net/owner.rs
@@ -70,7 +70,7 @@
         self.flush().await;
         let counts = self.core.counts();
         eprintln!(
-            "steprelay: stopped; {} offered, {} stood, {} refused, {} failed, {} given up, {} stand, {} breaches",
+            "steprelay: stopped; offered {}, stood {}, refused {}, failed {}, gone {}, stand {}, breaches {}",
             counts.offered,
             counts.stood,
             counts.refused,
--- a/src/controller.rs
+++ b/src/controller.rs
@@ -285,7 +285,7 @@
         actions.extend(self.notes.drain(..).map(Action::Log));
     }
 
-    /// The bound of the image that is held of a server, in set-ups a second, for whoever watches from outside.
+    /// The bound of the image that is held of a server, in set-ups a second, for those who watch.
     pub fn bound(&self, now: Micros, server: ServerId) -> Option<f64> {
         Some(self.servers.get(&server)?.image(now)?.bound)
     }
