Add the M3UA front on the same core, and tests of the core with a fake clock

The core, its rules and its deadlines are the same for both fronts, so either client reaches either server.

--- a/agent/src/board/frames.rs
+++ b/agent/src/board/frames.rs
@@ -53,7 +53,7 @@
         _ => None,
     };
     let list = match kind {
-        Some(kind) if records.len() % RECORD == 0 => {
+        Some(kind) if records.len().is_multiple_of(RECORD) => {
             Some((kind, records.chunks_exact(RECORD).map(record).collect::<Option<Vec<_>>>()?))
         }
         Some(_) => return None,
--- a/agent/src/cli.rs
+++ b/agent/src/cli.rs
@@ -6,6 +6,7 @@
 use argh::FromArgs;
 
 use crate::config::{Config, ConfigError};
+use crate::front::m3ua::{M3uaConfig, M3uaConfigError};
 use crate::net;
 
 /// A call agent in front of a few shared check servers.
@@ -30,6 +31,9 @@
     /// the configuration; by default the file that LB_CONFIG names
     #[argh(option)]
     config: Option<PathBuf>,
+    /// serve M3UA too, as this file says
+    #[argh(option)]
+    m3ua: Option<PathBuf>,
 }
 
 /// Read the configuration and say what is wrong with it, or what it holds.
@@ -39,6 +43,9 @@
     /// the configuration; by default the file that LB_CONFIG names
     #[argh(option)]
     config: Option<PathBuf>,
+    /// read the file of the M3UA front too
+    #[argh(option)]
+    m3ua: Option<PathBuf>,
 }
 
 /// Print the version.
@@ -50,6 +57,8 @@
 enum Error {
     #[error("configuration: {0}")]
     Config(#[from] ConfigError),
+    #[error("configuration: {0}")]
+    M3ua(#[from] M3uaConfigError),
     #[error("{0}")]
     Io(#[from] std::io::Error),
 }
@@ -76,9 +85,10 @@
 impl Serve {
     fn run(self) -> Result<(), Error> {
         let config = Config::load(self.config.as_deref())?;
+        let m3ua = self.m3ua.map(|path| M3uaConfig::load(&path, &config.site)).transpose()?;
         let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
         let local = tokio::task::LocalSet::new();
-        Ok(local.block_on(&runtime, net::serve(config))?)
+        Ok(local.block_on(&runtime, net::serve(config, m3ua))?)
     }
 }
 
@@ -93,6 +103,16 @@
             config.site.tenant_names.len(),
             config.known.servers.len()
         );
+        if let Some(path) = self.m3ua {
+            let m3ua = M3uaConfig::load(&path, &config.site)?;
+            println!(
+                "M3UA: listens on {} as point code {}, {} clients, {} servers",
+                m3ua.listen,
+                m3ua.point_code,
+                m3ua.clients.len(),
+                m3ua.servers.len()
+            );
+        }
         Ok(())
     }
 }
--- a/agent/src/core/cause.rs
+++ b/agent/src/core/cause.rs
@@ -7,6 +7,7 @@
 
 impl ReleaseCause {
     pub const NORMAL: Self = ReleaseCause(16);
+    pub const USER_BUSY: Self = ReleaseCause(17);
     pub const NO_CIRCUIT: Self = ReleaseCause(34);
     pub const TEMPORARY: Self = ReleaseCause(41);
     pub const CONGESTION: Self = ReleaseCause(42);
--- a/agent/src/core/mod.rs
+++ b/agent/src/core/mod.rs
@@ -11,6 +11,8 @@
 mod route;
 mod send;
 mod take_in;
+#[cfg(test)]
+mod tests;
 
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BinaryHeap, VecDeque};
@@ -37,6 +39,7 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Source {
     Board,
+    M3ua,
 }
 
 /// A set-up as a front has read it.
--- /dev/null
+++ b/agent/src/core/tests.rs
@@ -0,0 +1,238 @@
+//! The core with a clock that the test moves: what it does about each thing that happens.
+
+use steprelay_decisions::{Class, Limits, Readiness, Settings};
+
+use super::*;
+
+const MS: Micros = 1_000;
+const ONE: ServerId = ServerId(1);
+const TWO: ServerId = ServerId(2);
+const CALLER: ClientId = ClientId(1);
+
+struct Stand {
+    core: Core,
+    now: Micros,
+}
+
+impl Stand {
+    fn new() -> Self {
+        let class = Class { aim: 1_500 * MS, importance: 1.0, repeatable: true, ..Class::default() };
+        let decisions = Settings {
+            group_size: 1,
+            classes: vec![class],
+            limits: Limits {
+                cancel: true,
+                retry_after: true,
+                max_retry_after: 2_000 * MS,
+                attempts: 5,
+                ..Limits::default()
+            },
+            release: 200 * MS,
+            ..Settings::default()
+        };
+        let site =
+            Site { decisions, class_names: vec!["standard-check".into()], max_open: 3, ..Site::default() };
+        let mut stand = Stand { core: Core::new(site, 7, 0), now: 1_000_000 * MS };
+        stand.list(&[(ONE, Readiness::Ready), (TWO, Readiness::Ready)]);
+        stand.core.client_opened(stand.now, CALLER);
+        stand
+    }
+
+    fn list(&mut self, servers: &[(ServerId, Readiness)]) -> Vec<Effect> {
+        let entry = |&(server, state): &(ServerId, Readiness)| Entry {
+            server,
+            started: None,
+            number: server.0,
+            state,
+        };
+        let entries: Vec<_> = servers.iter().map(entry).collect();
+        self.core.list(self.now, Source::Board, ListKind::Changes, &entries);
+        self.core.take_effects()
+    }
+
+    fn offer(&mut self, call: u64, left: Micros) -> Vec<Effect> {
+        let request = Request {
+            call: CallId(call),
+            class: 0,
+            tenant: 0,
+            dest: ONE.0,
+            number: format!("line-{call}").into(),
+            description: "v=0".into(),
+            came: self.now,
+            left,
+            was_cut: false,
+        };
+        self.core.offer(self.now, CALLER, request);
+        self.core.take_effects()
+    }
+
+    /// Lets time pass, waking the core whenever it asked for that; returns what it did, and when.
+    fn pass(&mut self, time: Micros) -> Vec<(Micros, Effect)> {
+        let (until, mut done) = (self.now + time, Vec::new());
+        while let Some(at) = self.core.next_wake().filter(|&at| at <= until) {
+            self.now = at;
+            self.core.wake(at);
+            let effects = self.core.take_effects().into_iter();
+            let acts = effects.filter(|effect| !matches!(effect, Effect::Log(_)));
+            done.extend(acts.map(|effect| (at, effect)));
+        }
+        self.now = until;
+        done
+    }
+
+    fn answer(&mut self, server: ServerId, call: u64) -> Vec<Effect> {
+        self.core.server_answered(self.now, server, CallId(call), "v=1".into());
+        self.core.take_effects()
+    }
+
+    fn end(&mut self, server: ServerId, call: u64, cause: ReleaseCause) -> Vec<Effect> {
+        self.core.server_ended(self.now, server, CallId(call), cause, Cause::Untold, Report::default());
+        self.core.take_effects()
+    }
+
+    fn lost(&mut self, server: ServerId, loss: LinkLoss) -> Vec<Effect> {
+        self.core.link_lost(self.now, server, loss);
+        self.core.take_effects()
+    }
+
+    fn breaches(&self) -> u64 {
+        Breach::ALL.iter().map(|&breach| self.core.counts().breaches(breach)).sum()
+    }
+}
+
+fn set_up_at(effects: &[Effect]) -> Option<ServerId> {
+    effects.iter().find_map(|effect| match effect {
+        Effect::SetUp { server, .. } => Some(*server),
+        _ => None,
+    })
+}
+
+fn released(call: u64, cause: ReleaseCause) -> Vec<Effect> {
+    vec![Effect::Released { client: CALLER, call: CallId(call), cause }]
+}
+
+#[test]
+fn a_call_stands_and_is_released_once() {
+    let mut stand = Stand::new();
+    assert_eq!(set_up_at(&stand.offer(9, 3_000 * MS)), Some(ONE));
+    let answer = Effect::Answer { client: CALLER, call: CallId(9), description: "v=1".into() };
+    assert_eq!(stand.answer(ONE, 9), [answer]);
+    assert_eq!((stand.core.unanswered(), stand.core.standing()), (0, 1));
+    assert_eq!(stand.end(ONE, 9, ReleaseCause::NORMAL), released(9, ReleaseCause::NORMAL));
+    assert_eq!(stand.end(ONE, 9, ReleaseCause::NORMAL), [], "the release came again on another connection");
+    assert_eq!(stand.offer(9, 3_000 * MS), [], "a second answer would lose the first");
+    assert_eq!(stand.breaches(), 0);
+}
+
+#[test]
+fn silence_is_given_up_and_answered_before_the_caller_goes() {
+    let mut stand = Stand::new();
+    let start = stand.now;
+    stand.offer(9, 1_000 * MS);
+    let done = stand.pass(2_000 * MS);
+    let at = start + 970 * MS;
+    let call = CallId(9);
+    let expected = [
+        (at, Effect::GiveUp { server: ONE, call }),
+        (at, Effect::Final { client: CALLER, call, verdict: Verdict::Failed }),
+    ];
+    assert_eq!(done, expected);
+    let late = Effect::Release { server: ONE, call, cause: ReleaseCause::NORMAL };
+    assert_eq!(stand.answer(ONE, 9), [late], "nobody is left to take a late answer");
+    assert_eq!(stand.breaches(), 0);
+}
+
+#[test]
+fn after_a_reset_the_call_waits_for_the_release_and_goes_elsewhere() {
+    let mut stand = Stand::new();
+    stand.offer(9, 3_000 * MS);
+    let reset = stand.now;
+    assert_eq!(stand.lost(ONE, LinkLoss::Dropped), []);
+    let done = stand.pass(400 * MS);
+    let [(at, Effect::SetUp { server: TWO, set_up })] = &done[..] else { panic!("{done:?}") };
+    assert_eq!((*at - reset, set_up.wait), (200 * MS, 2_770 * MS));
+}
+
+#[test]
+fn a_refused_dial_proves_that_nothing_ran() {
+    let mut stand = Stand::new();
+    stand.offer(8, 3_000 * MS);
+    stand.answer(ONE, 8);
+    stand.offer(9, 3_000 * MS);
+    let done = stand.lost(ONE, LinkLoss::Refused);
+    assert_eq!(set_up_at(&done), Some(TWO), "at once");
+    assert!(
+        done.contains(&released(8, ReleaseCause::TEMPORARY)[0]),
+        "what stood there went with the process"
+    );
+}
+
+#[test]
+fn a_caller_that_gives_up_is_owed_nothing() {
+    let mut stand = Stand::new();
+    stand.offer(9, 3_000 * MS);
+    stand.core.client_ended(stand.now, CALLER, CallId(9), ReleaseCause::NORMAL);
+    assert_eq!(stand.core.take_effects(), [Effect::GiveUp { server: ONE, call: CallId(9) }]);
+    assert_eq!(stand.end(ONE, 9, ReleaseCause::NO_CIRCUIT), []);
+    assert_eq!(stand.pass(5_000 * MS), []);
+    assert_eq!(stand.core.unanswered(), 0);
+}
+
+#[test]
+fn a_lost_caller_ends_what_waits_and_not_what_stands() {
+    let mut stand = Stand::new();
+    stand.offer(8, 3_000 * MS);
+    stand.answer(ONE, 8);
+    stand.offer(9, 3_000 * MS);
+    stand.core.client_closed(stand.now, CALLER);
+    assert_eq!(stand.core.take_effects(), [Effect::GiveUp { server: ONE, call: CallId(9) }]);
+    assert_eq!(stand.end(ONE, 8, ReleaseCause::NORMAL), [], "nobody is there to take it");
+    let other = ClientId(2);
+    stand.core.client_opened(stand.now, other);
+    let relayed = Effect::Released { client: other, call: CallId(8), cause: ReleaseCause::NORMAL };
+    assert_eq!(stand.core.take_effects(), [relayed]);
+    // A set-up that crossed the close comes again on another connection.
+    assert_eq!(set_up_at(&stand.offer(9, 3_000 * MS)), Some(ONE));
+}
+
+#[test]
+fn a_release_of_an_unknown_call_is_relayed_either_way() {
+    let mut stand = Stand::new();
+    assert_eq!(stand.end(TWO, 5, ReleaseCause::NORMAL), released(5, ReleaseCause::NORMAL));
+    assert_eq!(stand.end(TWO, 5, ReleaseCause::NORMAL), []);
+    stand.core.client_ended(stand.now, CALLER, CallId(6), ReleaseCause::NORMAL);
+    let release = |server| Effect::Release { server, call: CallId(6), cause: ReleaseCause::NORMAL };
+    assert_eq!(stand.core.take_effects(), [release(ONE), release(TWO)]);
+}
+
+#[test]
+fn a_server_that_is_gone_takes_its_calls_with_it() {
+    let mut stand = Stand::new();
+    stand.offer(8, 3_000 * MS);
+    stand.answer(ONE, 8);
+    assert_eq!(stand.list(&[(ONE, Readiness::Draining)]), [], "a drain cuts nothing by itself");
+    assert_eq!(set_up_at(&stand.offer(9, 3_000 * MS)), Some(TWO));
+    let cut = released(8, ReleaseCause::TEMPORARY);
+    assert_eq!(stand.list(&[(ONE, Readiness::Gone)]), cut);
+}
+
+#[test]
+fn a_flood_is_refused_and_room_comes_back() {
+    let mut stand = Stand::new();
+    for call in 1..=3 {
+        assert!(set_up_at(&stand.offer(call, 3_000 * MS)).is_some());
+    }
+    let refused = Effect::Final { client: CALLER, call: CallId(4), verdict: Verdict::Refused { wait: None } };
+    assert_eq!(stand.offer(4, 3_000 * MS), [refused]);
+    stand.answer(ONE, 1);
+    assert!(set_up_at(&stand.offer(5, 3_000 * MS)).is_some());
+}
+
+#[test]
+fn a_call_that_nobody_may_take_is_refused_at_once_with_a_wait() {
+    let mut stand = Stand::new();
+    stand.list(&[(ONE, Readiness::Draining), (TWO, Readiness::Gone)]);
+    let verdict = Verdict::Refused { wait: Some(500 * MS) };
+    let refused = Effect::Final { client: CALLER, call: CallId(4), verdict };
+    assert_eq!(stand.offer(4, 3_000 * MS), [refused]);
+}
--- a/agent/src/front/mod.rs
+++ b/agent/src/front/mod.rs
@@ -1,3 +1,4 @@
 //! The fronts: each translates one kind of signalling to and from the core's requests and outcomes.
 
+pub mod m3ua;
 pub mod platform;
--- a/agent/src/front/platform/clients.rs
+++ b/agent/src/front/platform/clients.rs
@@ -2,12 +2,9 @@
 
 use std::io;
 use std::rc::Rc;
-use std::sync::Arc;
 
 use steprelay_decisions::{CallId, Micros};
-use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::Semaphore;
-use tokio::time::{sleep, Duration};
+use tokio::net::TcpStream;
 
 use super::message::{self, Message, Unreadable};
 use crate::core::{ClientId, ReleaseCause, Request, Verdict};
@@ -16,31 +13,9 @@
 use crate::net::ports::{Input, ToClient};
 use crate::net::Shared;
 
-/// Takes callers' connections, as many as the descriptors allow. The others wait in the machine's queue.
-pub async fn accept(listener: TcpListener, most: usize, shared: Shared) {
-    let places = Arc::new(Semaphore::new(most.max(1)));
-    let mut next = 0;
-    loop {
-        let Ok(place) = Arc::clone(&places).acquire_owned().await else { return };
-        match listener.accept().await {
-            Ok((stream, _)) => {
-                next += 1;
-                let (client, shared) = (ClientId(next), shared.clone());
-                tokio::task::spawn_local(async move {
-                    serve(stream, client, shared).await;
-                    drop(place);
-                });
-            }
-            Err(error) => {
-                // Out of descriptors, most often: it passes when connections close.
-                eprintln!("steprelay: cannot take a connection: {error}");
-                sleep(Duration::from_millis(50)).await;
-            }
-        }
-    }
-}
-
-async fn serve(stream: TcpStream, client: ClientId, shared: Shared) {
+/// Serves one connection of a caller, the `number`th there was.
+pub async fn serve(stream: TcpStream, number: u64, shared: Shared) {
+    let client = ClientId(number);
     let _ = stream.set_nodelay(true);
     let (outbox, mut inbox) = conn::channel();
     let own = outbox.clone();
@@ -152,6 +127,8 @@
             message::write(buffer, "end", *call, &[], Some(cause.0), None)
         }
         ToClient::Released { call, cause } => message::write(buffer, "end", *call, &[], Some(cause.0), None),
+        // Callers of this front learn it from the tests that they make.
+        ToClient::Draining => Ok(()),
         ToClient::Passed(call) => message::write(buffer, "tested", *call, &[], Some(1), None),
     }
 }
--- a/agent/src/net/mod.rs
+++ b/agent/src/net/mod.rs
@@ -10,17 +10,24 @@
 pub mod pool;
 pub mod ports;
 
+use std::cell::Cell;
+use std::future::Future;
 use std::io;
 use std::rc::Rc;
+use std::sync::Arc;
 
+use steprelay_decisions::CallId;
 use steprelay_settings::Site;
-use tokio::net::TcpListener;
+use tokio::net::{TcpListener, TcpStream};
 use tokio::signal::unix::{signal, SignalKind};
-use tokio::sync::mpsc;
+use tokio::sync::{mpsc, Semaphore};
+use tokio::task::spawn_local;
+use tokio::time::{sleep, Duration};
 
 use crate::board;
 use crate::config::Config;
 use crate::core::Core;
+use crate::front::m3ua::{self, M3ua, M3uaConfig};
 use crate::front::platform;
 use clock::Clock;
 use owner::Owner;
@@ -29,6 +36,8 @@
 
 /// Inputs that may wait for the owner.
 const INPUTS: usize = 1024;
+/// Connections of M3UA clients at once: a peer needs one, and a second while it changes over.
+const MOST_M3UA: usize = 64;
 
 /// What every task of a connection needs.
 #[derive(Clone)]
@@ -37,35 +46,81 @@
     pub pool: Pool,
     pub site: Rc<Site>,
     pub inputs: mpsc::Sender<Input>,
+    /// The ids of calls that come without one, and of probes, are drawn from this.
+    calls: Rc<Cell<u64>>,
 }
 
-/// Serves until it is told to stop and all that was taken in is answered.
-pub async fn serve(config: Config) -> io::Result<()> {
-    let listener = TcpListener::bind(config.listen).await?;
-    eprintln!("steprelay: serving on {}", listener.local_addr()?);
-    run(config, listener).await
+impl Shared {
+    /// A new id: each step of the sequence gives another one, and they look like any other caller's.
+    pub fn new_call(&self) -> CallId {
+        let step = self.calls.get().wrapping_add(0x9e37_79b9_7f4a_7c15);
+        self.calls.set(step);
+        let mixed = (step ^ (step >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+        let mixed = (mixed ^ (mixed >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+        CallId(mixed ^ (mixed >> 31))
+    }
 }
 
-/// Serves on a listening socket.
-pub async fn run(config: Config, listener: TcpListener) -> io::Result<()> {
+/// Serves until it is told to stop and all that was taken in is answered.
+pub async fn serve(config: Config, m3ua: Option<M3uaConfig>) -> io::Result<()> {
     let clock = Clock::start();
     let (inputs, queue) = mpsc::channel(INPUTS);
     let site = Rc::new(config.site);
-    let shared = Shared { clock, pool: Pool::default(), site: site.clone(), inputs };
+    let calls = Rc::new(Cell::new(config.seed ^ clock.now() as u64));
+    let m3ua = m3ua.map(|config| Rc::new(M3ua::new(config)));
+    let shared = Shared { clock, pool: Pool::default(), site: site.clone(), inputs, calls };
     let mut terminate = signal(SignalKind::terminate())?;
     let stop = shared.inputs.clone();
-    tokio::task::spawn_local(async move {
+    spawn_local(async move {
         if terminate.recv().await.is_some() {
             let _ = stop.send(Input::Stop).await;
         }
     });
+    let listener = TcpListener::bind(config.listen).await?;
+    eprintln!("steprelay: serving on {}", listener.local_addr()?);
     let core = Core::new((*site).clone(), config.seed, clock.now());
-    let mut owner = Owner::new(core, shared.clone());
+    let mut owner = Owner::new(core, shared.clone(), m3ua.clone());
     owner.listed(config.known.source, config.known.kind, config.known.servers);
     if let Some(address) = config.board {
-        tokio::task::spawn_local(board::follow(address, config.known.last, shared.clone()));
+        spawn_local(board::follow(address, config.known.last, shared.clone()));
+    }
+    if let Some(m3ua) = m3ua {
+        let listener = TcpListener::bind(m3ua.config.listen).await?;
+        eprintln!("steprelay: serving M3UA on {}", listener.local_addr()?);
+        owner.take(m3ua.listed());
+        let shared = shared.clone();
+        let serve = move |stream, number| m3ua::clients::serve(stream, number, shared.clone(), m3ua.clone());
+        spawn_local(accept(listener, MOST_M3UA, serve));
     }
-    tokio::task::spawn_local(platform::clients::accept(listener, config.most_clients, shared));
+    let serve = move |stream, number| platform::clients::serve(stream, number, shared.clone());
+    spawn_local(accept(listener, config.most_clients, serve));
     owner.run(queue).await;
     Ok(())
 }
+
+/// Takes connections, as many at once as the descriptors allow. The others wait in the machine's queue.
+async fn accept<S, F>(listener: TcpListener, most: usize, serve: S)
+where
+    S: Fn(TcpStream, u64) -> F,
+    F: Future<Output = ()> + 'static,
+{
+    let places = Arc::new(Semaphore::new(most.max(1)));
+    for number in 1.. {
+        let Ok(place) = Arc::clone(&places).acquire_owned().await else { return };
+        let stream = loop {
+            match listener.accept().await {
+                Ok((stream, _)) => break stream,
+                Err(error) => {
+                    // Out of descriptors, most often: it passes when connections close.
+                    eprintln!("steprelay: cannot take a connection: {error}");
+                    sleep(Duration::from_millis(50)).await;
+                }
+            }
+        };
+        let serving = serve(stream, number);
+        spawn_local(async move {
+            serving.await;
+            drop(place);
+        });
+    }
+}
--- a/agent/src/net/owner.rs
+++ b/agent/src/net/owner.rs
@@ -1,6 +1,7 @@
 //! The owner of the core: hands it what comes in and carries out what follows.
 
 use std::collections::BTreeMap;
+use std::rc::Rc;
 
 use steprelay_decisions::{CallId, Entry, ListKind, Micros, Readiness, ServerId};
 use tokio::sync::mpsc;
@@ -12,6 +13,7 @@
 use super::ports::{Input, ToClient, ToServer, Way};
 use super::Shared;
 use crate::core::{Breach, ClientId, Core, Effect, LinkLoss, Source};
+use crate::front::m3ua::{self, M3ua};
 use crate::front::platform;
 
 /// After a signal to stop, set-ups keep coming for so long: on new connections for 0.4 s, on those for 0.2 s
@@ -25,23 +27,23 @@
 pub struct Owner {
     core: Core,
     shared: Shared,
+    m3ua: Option<Rc<M3ua>>,
     clients: BTreeMap<ClientId, Outbox<ToClient>>,
     links: Links,
     /// Probes that are out, with their servers and when they left.
     probes: BTreeMap<CallId, (ServerId, Micros)>,
-    next_probe: u64,
     stopping: Option<Micros>,
 }
 
 impl Owner {
-    pub fn new(core: Core, shared: Shared) -> Self {
+    pub fn new(core: Core, shared: Shared, m3ua: Option<Rc<M3ua>>) -> Self {
         Owner {
             core,
             shared,
+            m3ua,
             clients: BTreeMap::new(),
             links: Links::default(),
             probes: BTreeMap::new(),
-            next_probe: 0,
             stopping: None,
         }
     }
@@ -88,11 +90,13 @@
         }
     }
 
-    fn take(&mut self, input: Input) {
+    pub fn take(&mut self, input: Input) {
         let now = self.shared.clock.now();
         match input {
             Input::ClientOpened { client, outbox } => {
-                self.clients.insert(client, outbox);
+                if let Some(before) = self.clients.insert(client, outbox) {
+                    before.cut();
+                }
                 self.core.client_opened(now, client);
             }
             Input::ClientClosed { client } => {
@@ -131,6 +135,9 @@
             Input::Stop => {
                 eprintln!("steprelay: told to stop, {} set-ups are unanswered", self.core.unanswered());
                 self.stopping.get_or_insert(now);
+                for outbox in self.clients.values() {
+                    outbox.post(ToClient::Draining);
+                }
             }
         }
     }
@@ -162,6 +169,11 @@
         let now = self.shared.clock.now();
         for (link, way) in self.links.due(now) {
             match way {
+                Way::M3ua(place) => {
+                    if let Some(m3ua) = self.m3ua.clone() {
+                        spawn_local(m3ua::servers::keep(link, place, self.shared.clone(), m3ua));
+                    }
+                }
                 Way::Platform(address) => {
                     spawn_local(platform::servers::keep(link, address, self.shared.clone()));
                 }
@@ -200,8 +212,7 @@
                 self.links.post(server, ToServer::Release(call, cause));
             }
             Effect::Probe { server } => {
-                self.next_probe += 1;
-                let call = CallId(self.next_probe);
+                let call = self.shared.new_call();
                 self.probes.retain(|_, (_, sent)| now - *sent < 10_000_000);
                 if self.links.post(server, ToServer::Probe(call)) {
                     self.probes.insert(call, (server, now));
--- a/agent/src/net/pool.rs
+++ b/agent/src/net/pool.rs
@@ -6,8 +6,8 @@
 
 /// The longest message, without its line feed.
 pub const LONGEST_MESSAGE: usize = 16 * 1024;
-/// A longest message with its line feed and the start of the next.
-const SIZE: usize = LONGEST_MESSAGE + 512;
+/// A longest message, with what any front puts round its description.
+const SIZE: usize = LONGEST_MESSAGE + 2048;
 /// As many free ones are kept; more are given back to the system.
 const KEPT: usize = 64;
 
--- a/agent/src/net/ports.rs
+++ b/agent/src/net/ports.rs
@@ -25,6 +25,8 @@
     },
     /// A test of this call agent has passed.
     Passed(CallId),
+    /// This call agent is about to stop: new set-ups are better made elsewhere.
+    Draining,
 }
 
 /// Towards a server.
@@ -70,6 +72,8 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Way {
     Platform(SocketAddr),
+    /// A server of the M3UA front, by its place in the configuration.
+    M3ua(usize),
 }
 
 /// Towards the owner.
