Tell the traps of the platform's signalling as stories over loopback sockets

The program runs between scripted callers, check servers and a notice board. Each story is one trap: partial and glued lines, malformed input, a caller that gives up, silence, a reset, a dead process, releases that outlive connections and starts, the board's frames split anywhere, a drain on SIGTERM, a slow reader, a refusal at once with its wait.

--- a/agent/src/front/m3ua/clients.rs
+++ b/agent/src/front/m3ua/clients.rs
@@ -88,7 +88,7 @@
         }
         match (message.kind, self.state) {
             (Kind::AspUp, State::Active(_)) => {
-                // Comes up again while active: its traffic is over, and it is told that this was not expected.
+                // Comes up again while active: its traffic is over, and it is told so.
                 self.deactivate().await;
                 self.state = State::Inactive;
                 self.line.message(Kind::AspUpAck, &[]).await?;
--- /dev/null
+++ b/agent/tests/common/mod.rs
@@ -0,0 +1,258 @@
+//! Scripted peers on loopback sockets, and the program between them.
+#![allow(dead_code)]
+
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::path::PathBuf;
+use std::process::{Child, Command, ExitStatus, Stdio};
+use std::sync::atomic::{AtomicU32, Ordering};
+use std::time::{Duration, Instant};
+
+use serde_json::{json, Value};
+
+/// No story waits longer than this for anything.
+pub const PATIENCE: Duration = Duration::from_secs(20);
+
+pub struct Agent {
+    child: Child,
+    log: BufReader<std::process::ChildStderr>,
+    pub address: SocketAddr,
+}
+
+/// What the program is told at its start.
+pub struct Setting {
+    pub servers: Vec<(u32, SocketAddr)>,
+    pub board: Option<SocketAddr>,
+    pub m3ua: Option<String>,
+    pub snmp: Option<String>,
+    pub settings: Value,
+}
+
+impl Setting {
+    /// Servers by their numbers, in order; their ids are the numbers plus one.
+    pub fn new(servers: &[SocketAddr]) -> Self {
+        let servers =
+            servers.iter().enumerate().map(|(place, address)| (place as u32 + 1, *address)).collect();
+        let class = |name: &str, importance: f64| {
+            json!({"name": name, "sloMs": 5000, "hardLimitMs": 9000, "importance": importance,
+                "idempotency": "idempotent"})
+        };
+        let settings = json!({
+            "groupSize": 1,
+            "services": [class("standard-check", 1.0), class("signing-check", 8.0)],
+            "parties": [{"name": "lembah-realty", "quotaRps": 1000}],
+            "policyLimits": {"cancel": true, "dialTimeoutMs": 500, "tryLimit": 5, "retryAfter": true,
+                "maxRetryAfterMs": 2000, "maxOpen": 20000},
+            "specifics": {"clearWaitMs": 200, "allowedPools": [[0, 1, 2, 3], [0, 1, 2, 3]]},
+            "rules": {"stopSendingWithinMs": 500},
+        });
+        Setting { servers, board: None, m3ua: None, snmp: None, settings }
+    }
+
+    pub fn start(&self) -> Agent {
+        self.start_at("127.0.0.1:0")
+    }
+
+    pub fn start_at(&self, listen: &str) -> Agent {
+        let targets: Vec<_> = self.servers.iter().map(|(id, address)| target(*id, *address, "up")).collect();
+        let config = json!({
+            "name": "n0", "listen": listen, "seed": "8c1f30d27a5be964", "board": self.board,
+            "known": {"rev": 1, "notices": [{"rev": 1, "pool": {"rev": 1, "all": true, "targets": targets}}]},
+            "settings": self.settings,
+        });
+        let mut command = Command::new(env!("CARGO_BIN_EXE_steprelay"));
+        command.arg("serve").arg("--config").arg(file("config.json", &config.to_string()));
+        if let Some(m3ua) = &self.m3ua {
+            command.arg("--m3ua").arg(file("m3ua.toml", m3ua));
+        }
+        if let Some(snmp) = &self.snmp {
+            command.arg("--snmp").arg(file("snmp.toml", snmp));
+        }
+        let mut child = command.stderr(Stdio::piped()).spawn().expect("it starts");
+        let log = BufReader::new(child.stderr.take().expect("piped"));
+        let mut agent = Agent { child, log, address: SocketAddr::from(([127, 0, 0, 1], 0)) };
+        agent.address = agent.logged("serving on ").parse().expect("an address");
+        agent
+    }
+}
+
+fn target(id: u32, address: SocketAddr, state: &str) -> Value {
+    let uid = format!("s-{id:08x}");
+    json!({"uid": uid, "endpoint": address, "pod_group": id - 1, "state": state, "boot_ms": 0})
+}
+
+fn file(name: &str, text: &str) -> PathBuf {
+    static NEXT: AtomicU32 = AtomicU32::new(0);
+    let number = NEXT.fetch_add(1, Ordering::Relaxed);
+    let folder = PathBuf::from(env!("CARGO_TARGET_TMPDIR"));
+    let path = folder.join(format!("{}-{number}-{name}", std::process::id()));
+    std::fs::write(&path, text).expect("written");
+    path
+}
+
+impl Agent {
+    /// Reads its log up to a line that holds this; returns what follows there.
+    pub fn logged(&mut self, what: &str) -> String {
+        loop {
+            let mut line = String::new();
+            assert!(self.log.read_line(&mut line).expect("readable") > 0, "no line with '{what}'");
+            if let Some((_, rest)) = line.split_once(what) {
+                return rest.trim().to_string();
+            }
+        }
+    }
+
+    pub fn signal(&self, name: &str) {
+        let done = Command::new("kill").args([&format!("-{name}"), &self.child.id().to_string()]).status();
+        assert!(done.expect("kill runs").success());
+    }
+
+    pub fn ended(&mut self) -> ExitStatus {
+        let start = Instant::now();
+        loop {
+            if let Some(status) = self.child.try_wait().expect("its child") {
+                return status;
+            }
+            assert!(start.elapsed() < PATIENCE, "it does not end");
+            std::thread::sleep(Duration::from_millis(5));
+        }
+    }
+
+    pub fn caller(&self) -> Lines {
+        Lines::new(TcpStream::connect(self.address).expect("it listens"))
+    }
+}
+
+impl Drop for Agent {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+/// A connection that carries JSON lines.
+pub struct Lines {
+    pub stream: TcpStream,
+    reader: BufReader<TcpStream>,
+}
+
+impl Lines {
+    pub fn new(stream: TcpStream) -> Self {
+        stream.set_read_timeout(Some(PATIENCE)).expect("settable");
+        stream.set_nodelay(true).expect("settable");
+        let reader = BufReader::new(stream.try_clone().expect("clonable"));
+        Lines { stream, reader }
+    }
+
+    pub fn raw(&mut self, bytes: &[u8]) {
+        self.stream.write_all(bytes).expect("it takes what is written");
+    }
+
+    pub fn say(&mut self, message: Value) {
+        self.raw(format!("{message}\n").as_bytes());
+    }
+
+    pub fn offer(&mut self, call: u64, left: u32, first_choice: usize) {
+        self.say(offer(call, left, first_choice));
+    }
+
+    /// The next message; `None` when the connection has ended.
+    pub fn next(&mut self) -> Option<Value> {
+        let mut line = String::new();
+        match self.reader.read_line(&mut line) {
+            Ok(0) => None,
+            Ok(_) => Some(serde_json::from_str(&line).expect("JSON")),
+            Err(error) if error.kind() == std::io::ErrorKind::ConnectionReset => None,
+            Err(error) => panic!("nothing comes: {error}"),
+        }
+    }
+
+    /// The next message, which must be this one about this call.
+    pub fn expect(&mut self, op: &str, call: u64) -> Value {
+        let message = self.next().expect("a message");
+        assert_eq!(
+            (message["op"].as_str(), message["call"].as_str()),
+            (Some(op), Some(&*hex(call))),
+            "{message}"
+        );
+        message
+    }
+
+    /// Everything that was sent so far has been taken in once a test that follows it is answered.
+    pub fn settle(&mut self) {
+        self.say(json!({"op": "test", "call": hex(0xfeed), "with": {}, "why": 0}));
+        self.expect("tested", 0xfeed);
+    }
+}
+
+pub fn hex(call: u64) -> String {
+    format!("{call:016x}")
+}
+
+pub const DESCRIPTION: &str = "9d41c07a5be2f318\r\nc=IN IP4 10.4.7.9\r\n\"q\" \\ \u{1}é\u{1f600}";
+
+pub fn offer(call: u64, left: u32, first_choice: usize) -> Value {
+    json!({"op": "offer", "call": hex(call), "desc": DESCRIPTION, "with": {"class": "standard-check",
+        "left": left.to_string(), "tenant": "lembah-realty", "key": format!("{call:x}"),
+        "extras": format!("dest:{first_choice};width:1;via:-1")}})
+}
+
+/// A check server of the platform's signalling.
+pub struct Server {
+    pub listener: TcpListener,
+    pub address: SocketAddr,
+}
+
+impl Server {
+    pub fn new() -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+        let address = listener.local_addr().expect("bound");
+        Server { listener, address }
+    }
+
+    /// The next connection from the call agent, which is told the state of the group first of all.
+    pub fn accept(&self) -> Lines {
+        let (stream, _) = self.listener.accept().expect("a connection");
+        let mut lines = Lines::new(stream);
+        lines.say(json!({"op": "group", "call": hex(0), "with": {"load": "spare:900;total:900"}}));
+        lines
+    }
+}
+
+pub fn accept(call: u64) -> Value {
+    json!({"op": "accept", "call": hex(call), "with": {}, "desc": DESCRIPTION})
+}
+
+pub fn end(call: u64, why: u8) -> Value {
+    json!({"op": "end", "call": hex(call), "with": {}, "why": why})
+}
+
+/// A record of the notice board for a server whose id is its number plus one.
+pub fn record(id: u32, address: SocketAddr, state: u8) -> Vec<u8> {
+    let SocketAddr::V4(address) = address else { panic!("IPv4 only") };
+    let mut record = id.to_be_bytes().to_vec();
+    record.extend(address.ip().octets());
+    record.extend(address.port().to_be_bytes());
+    record.extend([state, 0, 0]);
+    record.extend((id as u16 - 1).to_be_bytes());
+    record.extend(1000u32.to_be_bytes());
+    record.extend(0u64.to_be_bytes());
+    record
+}
+
+pub fn frame(number: u64, kind: u8, records: &[Vec<u8>]) -> Vec<u8> {
+    let records = records.concat();
+    let mut frame = (9 + records.len() as u32).to_be_bytes().to_vec();
+    frame.extend(number.to_be_bytes());
+    frame.push(kind);
+    frame.extend(records);
+    frame
+}
+
+/// Reads so many bytes.
+pub fn bytes(stream: &mut TcpStream, count: usize) -> Vec<u8> {
+    stream.set_read_timeout(Some(PATIENCE)).expect("settable");
+    let mut bytes = vec![0; count];
+    stream.read_exact(&mut bytes).expect("as many bytes");
+    bytes
+}
--- /dev/null
+++ b/agent/tests/platform.rs
@@ -0,0 +1,281 @@
+//! Stories over loopback sockets with the platform's signalling: one for each thing that can go wrong.
+
+mod common;
+
+use std::io::Write;
+use std::net::{Shutdown, TcpListener, TcpStream};
+use std::time::{Duration, Instant};
+
+use common::*;
+use serde_json::json;
+
+#[test]
+fn a_call_stands_and_is_released_unchanged() {
+    let server = Server::new();
+    let agent = Setting::new(&[server.address]).start();
+    let (mut caller, mut server) = (agent.caller(), server.accept());
+    caller.settle();
+    caller.offer(0x9b1f_03aa_5c7e_2d41, 3000, 0);
+    let set_up = server.expect("offer", 0x9b1f_03aa_5c7e_2d41);
+    assert_eq!(set_up["desc"], DESCRIPTION);
+    assert_eq!(
+        (&set_up["with"]["class"], &set_up["with"]["key"]),
+        (&json!("standard-check"), &json!("9b1f03aa5c7e2d41"))
+    );
+    let left: u32 = set_up["with"]["left"].as_str().and_then(|left| left.parse().ok()).expect("a number");
+    assert!((1..3000).contains(&left), "{left}: the time spent here is taken off");
+    server.say(json!({"op": "ringing", "call": hex(0x9b1f_03aa_5c7e_2d41), "with": {}}));
+    server.say(accept(0x9b1f_03aa_5c7e_2d41));
+    assert_eq!(caller.expect("accept", 0x9b1f_03aa_5c7e_2d41)["desc"], DESCRIPTION);
+    server.say(end(0x9b1f_03aa_5c7e_2d41, 16));
+    assert_eq!(caller.expect("end", 0x9b1f_03aa_5c7e_2d41)["why"], 16);
+    server.expect("ended", 0x9b1f_03aa_5c7e_2d41);
+}
+
+#[test]
+fn lines_may_come_in_parts_or_together() {
+    let server = Server::new();
+    let agent = Setting::new(&[server.address]).start();
+    let (mut caller, mut server) = (agent.caller(), server.accept());
+    let text = format!("{}\n{}\n{}\n", offer(1, 3000, 0), offer(2, 3000, 0), offer(3, 3000, 0));
+    let (first, rest) = text.as_bytes().split_at(70);
+    caller.raw(first);
+    std::thread::sleep(Duration::from_millis(20));
+    caller.raw(rest);
+    for call in 1..=3 {
+        server.expect("offer", call);
+    }
+    let answers = format!("{}\n{}\n{}\n", accept(1), accept(2), end(3, 17));
+    for part in answers.as_bytes().chunks(50) {
+        server.raw(part);
+    }
+    caller.expect("accept", 1);
+    caller.expect("accept", 2);
+    caller.expect("end", 3);
+}
+
+#[test]
+fn what_makes_no_sense_is_answered_or_ends_its_own_connection() {
+    let server = Server::new();
+    let agent = Setting::new(&[server.address]).start();
+    let (mut good, mut server) = (agent.caller(), server.accept());
+    let mut bad = agent.caller();
+    bad.say(json!({"op": "offer", "call": hex(1), "with": {"class": "nobody's", "left": "3000"}}));
+    assert_eq!(bad.expect("end", 1)["why"], 111);
+    bad.say(json!({"op": "offer", "call": hex(2), "with": {"class": "standard-check", "left": "soon"}}));
+    assert_eq!(bad.expect("end", 2)["why"], 111);
+    bad.say(json!({"op": "song", "call": hex(2), "with": {"a": [1, {"b": null}]}}));
+    bad.settle();
+    let too_long =
+        format!("{}\n", json!({"op": "test", "call": hex(3), "with": {}, "desc": "x".repeat(17_000)}));
+    let broken: [&[u8]; 6] =
+        [b"{\"op\":\n", b"\xff\xfe\n", b"[[[[\n", b"{\"op\":\"offer\"}\n", b"\0\n", too_long.as_bytes()];
+    for bytes in broken {
+        let mut bad = agent.caller();
+        bad.raw(bytes);
+        assert_eq!(bad.next(), None, "the connection is closed");
+    }
+    good.offer(4, 3000, 0);
+    server.expect("offer", 4);
+    server.say(accept(4));
+    good.expect("accept", 4);
+}
+
+#[test]
+fn a_caller_that_gives_up_gets_nothing_and_the_server_is_told() {
+    let server = Server::new();
+    let agent = Setting::new(&[server.address]).start();
+    let (mut caller, mut server) = (agent.caller(), server.accept());
+    caller.offer(1, 3000, 0);
+    server.expect("offer", 1);
+    caller.say(end(1, 16));
+    assert_eq!(server.expect("end", 1)["why"], 16);
+    server.say(accept(1));
+    assert_eq!(server.expect("end", 1)["why"], 16, "a late answer is released");
+    caller.settle();
+}
+
+#[test]
+fn a_silent_server_costs_its_calls_no_more_than_their_time() {
+    let server = Server::new();
+    let agent = Setting::new(&[server.address]).start();
+    let (mut caller, mut server) = (agent.caller(), server.accept());
+    caller.offer(1, 700, 0);
+    server.expect("offer", 1);
+    assert_eq!(caller.expect("end", 1)["why"], 41);
+    assert_eq!(server.expect("end", 1)["why"], 16);
+}
+
+#[test]
+fn a_release_goes_by_any_connection_and_outlives_the_callers() {
+    let server = Server::new();
+    let agent = Setting::new(&[server.address]).start();
+    let (mut caller, mut server) = (agent.caller(), server.accept());
+    caller.offer(1, 3000, 0);
+    server.expect("offer", 1);
+    server.say(accept(1));
+    caller.expect("accept", 1);
+    caller.stream.shutdown(Shutdown::Both).expect("open");
+    let mut other = agent.caller();
+    other.settle();
+    server.say(end(1, 16));
+    other.expect("end", 1);
+    // One of a call that stood before this start.
+    server.say(end(2, 16));
+    other.expect("end", 2);
+    // And a caller's own, of such a call: the server that has it will know.
+    other.say(end(3, 16));
+    server.expect("ended", 1);
+    server.expect("ended", 2);
+    server.expect("end", 3);
+}
+
+#[test]
+fn a_reset_cuts_nothing_that_stands_and_the_release_comes_on_the_next_connection() {
+    let server = Server::new();
+    let agent = Setting::new(&[server.address]).start();
+    let (mut caller, mut first) = (agent.caller(), server.accept());
+    caller.offer(1, 5000, 0);
+    first.expect("offer", 1);
+    first.say(accept(1));
+    caller.expect("accept", 1);
+    drop(first);
+    let mut second = server.accept();
+    second.say(end(1, 16));
+    assert_eq!(caller.expect("end", 1)["why"], 16);
+}
+
+#[test]
+fn a_dead_servers_calls_go_elsewhere_and_what_stood_is_released() {
+    let (one, two) = (Server::new(), Server::new());
+    let agent = Setting::new(&[one.address, two.address]).start();
+    let (mut caller, mut at_one, mut at_two) = (agent.caller(), one.accept(), two.accept());
+    caller.offer(1, 5000, 0);
+    at_one.expect("offer", 1);
+    at_one.say(accept(1));
+    caller.expect("accept", 1);
+    caller.offer(2, 5000, 0);
+    at_one.expect("offer", 2);
+    let died = Instant::now();
+    drop(one);
+    drop(at_one);
+    assert_eq!(caller.expect("end", 1)["why"], 41);
+    at_two.expect("offer", 2);
+    assert!(died.elapsed() >= Duration::from_millis(200), "the release was waited for");
+    at_two.say(accept(2));
+    caller.expect("accept", 2);
+}
+
+#[test]
+fn the_board_is_followed_from_the_last_event_over_broken_connections() {
+    let (one, two) = (Server::new(), Server::new());
+    let board = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let mut setting = Setting::new(&[one.address, two.address]);
+    setting.board = Some(board.local_addr().expect("bound"));
+    let agent = setting.start();
+    let (mut caller, mut at_one, mut at_two) = (agent.caller(), one.accept(), two.accept());
+    let (mut stream, _) = board.accept().expect("a connection");
+    assert_eq!(bytes(&mut stream, 8), 1u64.to_be_bytes());
+    let event = [frame(1, 0, &[]), frame(2, 2, &[record(1, one.address, 1)])].concat();
+    for part in event.chunks(5) {
+        stream.write_all(part).expect("read");
+    }
+    drop(stream);
+    let (mut stream, _) = board.accept().expect("another connection");
+    assert_eq!(bytes(&mut stream, 8), 2u64.to_be_bytes(), "the drain was taken in");
+    caller.offer(1, 3000, 0);
+    at_two.expect("offer", 1);
+    at_two.say(accept(1));
+    caller.expect("accept", 1);
+    // The drained one goes, and another takes over its address.
+    stream.write_all(&frame(3, 2, &[record(1, one.address, 2), record(3, one.address, 0)])).expect("read");
+    assert_eq!(at_one.next(), None, "a gone server is let go");
+    let mut at_three = one.accept();
+    stream.write_all(&frame(4, 1, &[record(3, one.address, 0)])).expect("read");
+    assert_eq!(
+        caller.expect("end", 1)["why"],
+        41,
+        "what stood at a server that a whole list leaves out is cut"
+    );
+    caller.offer(2, 3000, 2);
+    at_three.expect("offer", 2);
+}
+
+#[test]
+fn told_to_stop_it_goes_on_until_all_is_answered() {
+    let server = Server::new();
+    let mut agent = Setting::new(&[server.address]).start();
+    let (mut caller, mut server) = (agent.caller(), server.accept());
+    caller.offer(1, 5000, 0);
+    server.expect("offer", 1);
+    agent.signal("TERM");
+    agent.logged("told to stop, 1 set-ups");
+    let mut late = agent.caller();
+    late.offer(2, 5000, 0);
+    server.expect("offer", 2);
+    server.say(accept(1));
+    server.say(accept(2));
+    caller.expect("accept", 1);
+    late.expect("accept", 2);
+    let last = agent.logged("stopped; ");
+    assert_eq!(last, "offered 2, stood 2, refused 0, failed 0, gone 0, stand 2, breaches 0");
+    assert!(agent.ended().success());
+}
+
+#[test]
+fn a_slow_reader_is_cut_and_stalls_nobody() {
+    let server = Server::new();
+    let mut agent = Setting::new(&[server.address]).start();
+    let (mut slow, mut at_server) = (agent.caller(), server.accept());
+    let answers = std::thread::spawn(move || {
+        let long = "x".repeat(15_000);
+        while let Some(message) = at_server.next() {
+            if message["op"] == "offer" {
+                let answer = json!({"op": "accept", "call": message["call"], "with": {}, "desc": long});
+                at_server.say(answer);
+            }
+        }
+    });
+    // The answers are more than the sockets between take, and the caller reads none of them.
+    for call in 1..2_000 {
+        if slow.stream.write_all(format!("{}\n", offer(call, 9000, 0)).as_bytes()).is_err() {
+            break;
+        }
+    }
+    agent.logged("a client does not read");
+    let mut other = agent.caller();
+    other.offer(5_000, 9000, 0);
+    other.expect("accept", 5_000);
+    drop(agent);
+    answers.join().expect("no message was wrong");
+}
+
+#[test]
+fn bad_configuration_is_said_and_the_exit_tells() {
+    let run = |arguments: &[&str]| {
+        let mut command = std::process::Command::new(env!("CARGO_BIN_EXE_steprelay"));
+        let output = command.args(arguments).env_remove("LB_CONFIG").output().expect("it runs");
+        (output.status.code(), String::from_utf8_lossy(&output.stderr).into_owned())
+    };
+    let named = "steprelay: configuration: no configuration: name a file with --config or in LB_CONFIG\n";
+    assert_eq!(run(&["check-config"]), (Some(1), named.to_string()));
+    let (code, said) = run(&["serve", "--config", "/nowhere.json"]);
+    assert_eq!(
+        (code, said.starts_with("steprelay: configuration: /nowhere.json: ")),
+        (Some(1), true),
+        "{said}"
+    );
+}
+
+#[test]
+fn a_refused_call_is_told_at_once_when_to_come_back() {
+    let gone = TcpListener::bind("127.0.0.1:0").and_then(|listener| listener.local_addr()).expect("a port");
+    let agent = Setting::new(&[gone]).start();
+    let mut caller = agent.caller();
+    let asked = Instant::now();
+    caller.offer(1, 60_000, 0);
+    let refusal = caller.expect("end", 1);
+    assert_eq!((&refusal["why"], &refusal["with"]["wait"]), (&json!(42), &json!("500")));
+    assert!(asked.elapsed() < Duration::from_secs(30), "not held back until the caller gives up");
+    let _ = TcpStream::connect(agent.address).expect("still there");
+}
