Show the M3UA front with stand-ins, both protocols mixed through a drain

Stand-ins written from RFC 4666 and Q.763 alone, sharing no code with the program: a client that calls, a server that is reached, and both with the platform's callers and servers in one story that drains each server in turn with heartbeats between the set-ups and checks every rule on each call. Errors, causes, deadlines, circuits in use and releases that outlive an association have theirs.

--- /dev/null
+++ b/agent/tests/m3ua.rs
@@ -0,0 +1,586 @@
+//! Stories with stand-ins that speak M3UA over TCP, written from RFC 4666 and Q.763 and on their own: they
+//! share no code with the program.
+
+mod common;
+
+use std::collections::BTreeMap;
+use std::io::{Read, Write};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+use common::*;
+use serde_json::json;
+
+const OURS: u32 = 1001;
+const CLIENT: (u32, u32) = (2001, 1);
+const SERVER: (u32, u32) = (3001, 7);
+
+const ERR: (u8, u8) = (0, 0);
+const NTFY: (u8, u8) = (0, 1);
+const DATA: (u8, u8) = (1, 1);
+const DUNA: (u8, u8) = (2, 1);
+const DAVA: (u8, u8) = (2, 2);
+const SCON: (u8, u8) = (2, 4);
+const DRST: (u8, u8) = (2, 6);
+const ASPUP: (u8, u8) = (3, 1);
+const BEAT: (u8, u8) = (3, 3);
+const ASPUP_ACK: (u8, u8) = (3, 4);
+const BEAT_ACK: (u8, u8) = (3, 6);
+const ASPAC: (u8, u8) = (4, 1);
+const ASPIA: (u8, u8) = (4, 2);
+const ASPAC_ACK: (u8, u8) = (4, 3);
+const ASPIA_ACK: (u8, u8) = (4, 4);
+
+const IAM: u8 = 0x01;
+const ACM: u8 = 0x06;
+const ANM: u8 = 0x09;
+const REL: u8 = 0x0c;
+const RLC: u8 = 0x10;
+
+/// A message as it came: its kind and its parameters by tag.
+struct Heard {
+    kind: (u8, u8),
+    parameters: BTreeMap<u16, Vec<u8>>,
+}
+
+/// A call message: circuit, type, cause and whatever user-to-user information it had.
+#[derive(Debug, PartialEq)]
+struct Isup {
+    circuit: u16,
+    kind: u8,
+    cause: u8,
+    text: String,
+    congestion: Option<u8>,
+}
+
+struct Peer {
+    stream: TcpStream,
+    label: (u32, u32),
+}
+
+impl Peer {
+    fn new(stream: TcpStream, label: (u32, u32)) -> Self {
+        stream.set_read_timeout(Some(PATIENCE)).expect("settable");
+        stream.set_nodelay(true).expect("settable");
+        Peer { stream, label }
+    }
+
+    /// A client that is up and active.
+    fn active(address: SocketAddr) -> Self {
+        let mut peer = Peer::new(TcpStream::connect(address).expect("it listens"), CLIENT);
+        peer.say(ASPUP, &[]);
+        peer.expect(ASPUP_ACK);
+        peer.say(ASPAC, &[(6, &CLIENT.1.to_be_bytes())]);
+        peer.expect(ASPAC_ACK);
+        assert_eq!(peer.expect(NTFY).parameters[&0x0d], [0, 1, 0, 3]);
+        peer
+    }
+
+    /// A server that the program has dialled and made active.
+    fn accept(listener: &TcpListener) -> Self {
+        let mut peer = Peer::new(listener.accept().expect("a connection").0, SERVER);
+        peer.expect(ASPUP);
+        peer.say(ASPUP_ACK, &[]);
+        assert_eq!(peer.expect(ASPAC).parameters[&6], SERVER.1.to_be_bytes());
+        peer.say(ASPAC_ACK, &[]);
+        peer
+    }
+
+    fn say(&mut self, kind: (u8, u8), parameters: &[(u16, &[u8])]) {
+        let mut body = Vec::new();
+        for (tag, value) in parameters {
+            body.extend(tag.to_be_bytes());
+            body.extend((value.len() as u16 + 4).to_be_bytes());
+            body.extend(*value);
+            body.resize(body.len().next_multiple_of(4), 0);
+        }
+        let mut bytes = vec![1, 0, kind.0, kind.1];
+        bytes.extend((body.len() as u32 + 8).to_be_bytes());
+        bytes.extend(body);
+        self.stream.write_all(&bytes).expect("it takes what is written");
+    }
+
+    fn data(&mut self, user: &[u8]) {
+        self.data_from(self.label.0, OURS, self.label.1, user);
+    }
+
+    fn data_from(&mut self, origin: u32, destination: u32, context: u32, user: &[u8]) {
+        let mut value = origin.to_be_bytes().to_vec();
+        value.extend(destination.to_be_bytes());
+        value.extend([5, 2, 0, 0]);
+        value.extend(user);
+        self.say(DATA, &[(6, &context.to_be_bytes()), (0x210, &value)]);
+    }
+
+    fn next(&mut self) -> Option<Heard> {
+        let mut head = [0; 8];
+        self.stream.read_exact(&mut head).ok()?;
+        assert_eq!(head[0], 1, "version");
+        let length = u32::from_be_bytes(head[4..].try_into().expect("4 bytes")) as usize;
+        let mut body = vec![0; length - 8];
+        self.stream.read_exact(&mut body).expect("as long as it says");
+        let (mut parameters, mut at) = (BTreeMap::new(), 0);
+        while at < body.len() {
+            let tag = u16::from_be_bytes([body[at], body[at + 1]]);
+            let length = usize::from(u16::from_be_bytes([body[at + 2], body[at + 3]]));
+            parameters.insert(tag, body[at + 4..at + length].to_vec());
+            at += length.next_multiple_of(4);
+        }
+        Some(Heard { kind: (head[2], head[3]), parameters })
+    }
+
+    fn expect(&mut self, kind: (u8, u8)) -> Heard {
+        let heard = self.next().expect("a message");
+        assert_eq!(heard.kind, kind, "{:x?}", heard.parameters);
+        heard
+    }
+
+    fn expect_error(&mut self, code: u8) {
+        assert_eq!(self.expect(ERR).parameters[&0x0c], [0, 0, 0, code]);
+    }
+
+    /// The next call message, with its label checked.
+    fn isup(&mut self) -> Isup {
+        let heard = self.expect(DATA);
+        self.read(&heard)
+    }
+
+    fn read(&self, heard: &Heard) -> Isup {
+        assert_eq!(heard.parameters[&6], self.label.1.to_be_bytes());
+        let data = &heard.parameters[&0x210];
+        assert_eq!(data[..4], OURS.to_be_bytes());
+        assert_eq!(data[4..8], self.label.0.to_be_bytes());
+        isup(&data[12..])
+    }
+
+    fn expect_call(&mut self, kind: u8, circuit: u16) -> Isup {
+        let message = self.isup();
+        assert_eq!((message.kind, message.circuit), (kind, circuit), "{message:?}");
+        message
+    }
+}
+
+fn isup(user: &[u8]) -> Isup {
+    let (circuit, kind) = (u16::from_le_bytes([user[0], user[1]]), user[2]);
+    let body = &user[3..];
+    let pointer = match kind {
+        IAM => 6,
+        ACM => 2,
+        REL => 1,
+        _ => 0,
+    };
+    let cause = if kind == REL { body[usize::from(body[0]) + 2] & 0x7f } else { 0 };
+    let (mut text, mut congestion) = (Vec::new(), None);
+    if body[pointer] > 0 {
+        let mut rest = &body[pointer + usize::from(body[pointer])..];
+        while rest[0] != 0 {
+            let value = &rest[2..2 + usize::from(rest[1])];
+            match rest[0] {
+                0x20 => text.extend(&value[1..]),
+                0x27 => congestion = Some(value[0]),
+                _ => {}
+            }
+            rest = &rest[2 + usize::from(rest[1])..];
+        }
+    }
+    Isup { circuit, kind, cause, text: String::from_utf8(text).expect("text"), congestion }
+}
+
+/// A set-up to 603 and two more digits, with a description.
+fn iam(circuit: u16, category: u8, description: &str) -> Vec<u8> {
+    let mut user = circuit.to_le_bytes().to_vec();
+    user.extend([IAM, 0, 0x20, 1, category, 0, 2, 7, 5, 0x84, 0x10, 0x06, 0x13, 0x02]);
+    user.extend(optional(description));
+    user
+}
+
+fn optional(text: &str) -> Vec<u8> {
+    let parts = text.as_bytes().chunks(128);
+    let mut bytes: Vec<u8> =
+        parts.flat_map(|part| [&[0x20, part.len() as u8 + 1, 4], part].concat()).collect();
+    bytes.push(0);
+    bytes
+}
+
+fn anm(circuit: u16, description: &str) -> Vec<u8> {
+    [&circuit.to_le_bytes()[..], &[ANM, 1], &optional(description)].concat()
+}
+
+fn rel(circuit: u16, cause: u8) -> Vec<u8> {
+    [&circuit.to_le_bytes()[..], &[REL, 2, 0, 2, 0x80, 0x80 | cause]].concat()
+}
+
+fn rlc(circuit: u16) -> Vec<u8> {
+    [&circuit.to_le_bytes()[..], &[RLC, 0]].concat()
+}
+
+/// The front's file: one client, and a server at this address with the second place among all.
+fn m3ua(server: Option<SocketAddr>, wait_ms: u32) -> String {
+    let mut text = format!(
+        "listen = '127.0.0.1:0'\npoint_code = {OURS}\n\
+         [[class]]\ncategory = 10\nclass = 'standard-check'\nwait_ms = {wait_ms}\n\
+         [[route]]\nprefix = '603'\nnumber = 0\n\
+         [[client]]\nname = 'branch-a'\npoint_code = {}\nrouting_context = {}\ntenant = 'lembah-realty'\n",
+        CLIENT.0, CLIENT.1
+    );
+    if let Some(address) = server {
+        text += &format!(
+            "[[server]]\nname = 'archive'\naddress = '{address}'\npoint_code = {}\nrouting_context = {}\n\
+             number = 1\ncircuits = 40\n",
+            SERVER.0, SERVER.1
+        );
+    }
+    text
+}
+
+/// The program with one server of the platform, and this file; and where it listens for M3UA.
+fn start(servers: &[SocketAddr], m3ua: String) -> (Agent, SocketAddr) {
+    let mut setting = Setting::new(servers);
+    setting.m3ua = Some(m3ua);
+    let mut agent = setting.start();
+    let address = agent.logged("serving M3UA on ").parse().expect("an address");
+    (agent, address)
+}
+
+#[test]
+fn a_client_reaches_a_server_of_the_platform() {
+    let server = Server::new();
+    let (_agent, address) = start(&[server.address], m3ua(None, 5000));
+    let mut server = server.accept();
+    let mut client = Peer::active(address);
+    let long = "v=0\r\n".repeat(200);
+    client.data(&iam(5, 10, &long));
+    let set_up = server.next().expect("a set-up");
+    assert_eq!((&set_up["op"], &set_up["desc"]), (&json!("offer"), &json!(long)));
+    assert_eq!(set_up["with"]["class"], "standard-check");
+    assert_eq!(set_up["with"]["key"], "60312");
+    let call = u64::from_str_radix(set_up["call"].as_str().expect("text"), 16).expect("hex");
+    server.say(accept(call));
+    client.expect_call(ACM, 5);
+    assert_eq!(client.expect_call(ANM, 5).text, DESCRIPTION);
+    server.say(end(call, 16));
+    assert_eq!(client.expect_call(REL, 5).cause, 16);
+    client.data(&rlc(5));
+    // The circuit is idle again; this one is refused, and the caller releases the next itself.
+    client.data(&iam(5, 10, ""));
+    let call = call_of(&server.next().expect("ended"), &mut server);
+    server.say(end(call, 17));
+    assert_eq!(client.expect_call(REL, 5).cause, 42);
+    client.data(&rlc(5));
+    client.data(&iam(5, 10, ""));
+    let set_up = server.next().expect("ended");
+    let call = call_of(&set_up, &mut server);
+    client.data(&rel(5, 16));
+    client.expect_call(RLC, 5);
+    assert_eq!(server.expect("end", call)["why"], 16);
+}
+
+/// The call of the next set-up; before it the end of the last one may have been confirmed.
+fn call_of(message: &serde_json::Value, server: &mut Lines) -> u64 {
+    let message = if message["op"] == "ended" { server.next().expect("a set-up") } else { message.clone() };
+    assert_eq!(message["op"], "offer");
+    u64::from_str_radix(message["call"].as_str().expect("text"), 16).expect("hex")
+}
+
+#[test]
+fn silence_and_refusal_are_answered_in_time_with_their_causes() {
+    let server = Server::new();
+    let (_agent, address) = start(&[server.address], m3ua(None, 600));
+    let mut server = server.accept();
+    let mut client = Peer::active(address);
+    client.data(&iam(1, 10, ""));
+    let call = call_of(&server.next().expect("a set-up"), &mut server);
+    assert_eq!(client.expect_call(REL, 1).cause, 41, "given up in time");
+    assert_eq!(server.expect("end", call)["why"], 16);
+    client.data(&rlc(1));
+    client.data(&iam(2, 10, ""));
+    let call = call_of(&server.next().expect("a set-up"), &mut server);
+    server.say(json!({"op": "end", "call": hex(call), "why": 34, "with": {"note": "swamped"}}));
+    let refused = client.expect_call(REL, 2);
+    assert_eq!((refused.cause, refused.congestion), (42, Some(1)), "with a word on when to come back");
+}
+
+#[test]
+fn what_is_wrong_gets_the_standards_error_or_cause() {
+    let (_agent, address) = start(&[], m3ua(None, 5000));
+    let mut client = Peer::new(TcpStream::connect(address).expect("it listens"), CLIENT);
+    client.say(BEAT, &[(9, b"any time")]);
+    assert_eq!(client.expect(BEAT_ACK).parameters[&9], b"any time");
+    client.data(&iam(1, 10, ""));
+    client.expect_error(0x06);
+    client.say(ASPAC, &[(6, &CLIENT.1.to_be_bytes())]);
+    client.expect_error(0x06);
+    client.say(ASPUP, &[]);
+    client.expect(ASPUP_ACK);
+    client.say(ASPAC, &[(6, &99u32.to_be_bytes())]);
+    client.expect_error(0x19);
+    client.stream.write_all(&[2, 0, 3, 3, 0, 0, 0, 8]).expect("read");
+    client.expect_error(0x01);
+    client.say((9, 1), &[]);
+    client.expect_error(0x03);
+    client.say((3, 77), &[]);
+    client.expect_error(0x04);
+    client.stream.write_all(&[1, 0, 3, 3, 0, 0, 0, 12, 0, 9, 0, 99]).expect("read");
+    client.expect_error(0x12);
+    client.say(ASPAC, &[(6, &CLIENT.1.to_be_bytes())]);
+    client.expect(ASPAC_ACK);
+    client.expect(NTFY);
+    client.say(DATA, &[(6, &CLIENT.1.to_be_bytes())]);
+    client.expect_error(0x16);
+    client.data_from(CLIENT.0, OURS, 99, &iam(1, 10, ""));
+    client.expect_error(0x19);
+    client.data_from(4444, OURS, CLIENT.1, &iam(1, 10, ""));
+    client.expect_error(0x11);
+    client.data_from(CLIENT.0, 4444, CLIENT.1, &iam(1, 10, ""));
+    assert_eq!(client.expect(DUNA).parameters[&0x12], 4444u32.to_be_bytes());
+    client.data(&[1, 0, 0x77]);
+    client.expect_error(0x07);
+    client.data(&iam(1, 10, "")[..9]);
+    assert_eq!(client.expect_call(REL, 1).cause, 111);
+    client.data(&iam(1, 99, ""));
+    assert_eq!(client.expect_call(REL, 1).cause, 111, "no such class");
+    client.data(&rel(9, 16));
+    client.expect_call(RLC, 9);
+    client.say(ASPIA, &[]);
+    client.expect(ASPIA_ACK);
+    client.stream.write_all(&[1, 0, 3, 3, 0, 0, 0, 9, 0]).expect("read");
+    client.expect_error(0x07);
+    assert!(client.next().is_none(), "what can't be told apart ends the connection");
+}
+
+#[test]
+fn a_circuit_in_use_is_not_disturbed_by_a_second_set_up() {
+    let server = Server::new();
+    let (_agent, address) = start(&[server.address], m3ua(None, 5000));
+    let mut server = server.accept();
+    let mut client = Peer::active(address);
+    client.data(&iam(3, 10, ""));
+    let call = call_of(&server.next().expect("a set-up"), &mut server);
+    client.data(&iam(3, 10, ""));
+    client.expect_error(0x06);
+    server.say(accept(call));
+    client.expect_call(ACM, 3);
+    client.expect_call(ANM, 3);
+    // The call outlives its association; the release comes on the next.
+    client.stream.shutdown(Shutdown::Both).expect("open");
+    let mut client = Peer::active(address);
+    server.say(end(call, 16));
+    assert_eq!(client.expect_call(REL, 3).cause, 16);
+}
+
+#[test]
+fn a_caller_of_the_platform_reaches_a_server_over_m3ua() {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let (agent, _) = start(&[], m3ua(Some(listener.local_addr().expect("bound")), 5000));
+    let mut server = Peer::accept(&listener);
+    let mut caller = agent.caller();
+    caller.offer(0xabc, 5000, 1);
+    let set_up = server.isup();
+    assert_eq!((set_up.kind, set_up.text.as_str()), (IAM, DESCRIPTION));
+    server.say(BEAT, &[(9, b"between")]);
+    server.expect(BEAT_ACK);
+    server.data(&anm(set_up.circuit, DESCRIPTION));
+    assert_eq!(caller.expect("accept", 0xabc)["desc"], DESCRIPTION);
+    server.data(&rel(set_up.circuit, 16));
+    server.expect_call(RLC, set_up.circuit);
+    assert_eq!(caller.expect("end", 0xabc)["why"], 16);
+    // Given up by its caller: the circuit is released, and used again only once that is confirmed.
+    caller.offer(2, 5000, 1);
+    let second = server.expect_call(IAM, set_up.circuit);
+    caller.say(end(2, 16));
+    assert_eq!(server.expect_call(REL, second.circuit).cause, 16);
+    caller.offer(3, 5000, 1);
+    assert_ne!(server.isup().circuit, second.circuit);
+    server.data(&rlc(second.circuit));
+    // Drained: nothing new until it is available again.
+    server.say(DRST, &[(0x12, &SERVER.0.to_be_bytes())]);
+    server.say(BEAT, &[]);
+    server.expect(BEAT_ACK);
+    caller.settle();
+    caller.offer(4, 5000, 1);
+    assert_eq!(caller.expect("end", 4)["why"], 42);
+    server.say(DAVA, &[(0x12, &SERVER.0.to_be_bytes())]);
+    server.say(SCON, &[(0x12, &SERVER.0.to_be_bytes()), (0x205, &0u32.to_be_bytes())]);
+    server.say(BEAT, &[]);
+    server.expect(BEAT_ACK);
+    caller.offer(5, 5000, 1);
+    server.expect_call(IAM, second.circuit);
+}
+
+/// What a stand-in server has seen of a call, for the rules to be checked on.
+#[derive(Debug)]
+struct Seen {
+    number: String,
+    server: &'static str,
+    at: Instant,
+    /// When the attempt was over, and whether by time-out, reset or cancel.
+    over: Option<(Instant, bool)>,
+}
+
+type Book = Arc<Mutex<Vec<Seen>>>;
+
+fn arrived(book: &Book, server: &'static str, number: &str) -> usize {
+    let mut book = book.lock().expect("no panic");
+    book.push(Seen { number: number.into(), server, at: Instant::now(), over: None });
+    book.len() - 1
+}
+
+fn over(book: &Book, place: usize, released: bool) {
+    book.lock().expect("no panic")[place].over.get_or_insert((Instant::now(), released));
+}
+
+/// Both protocols on both sides, heartbeats between the set-ups, and both servers drained in turn: each call
+/// gets one final answer, has one attempt out at a time, and nothing new reaches a server that drains.
+#[test]
+fn mixed_signalling_keeps_every_rule_on_each_call_during_drains() {
+    const CALLS: usize = 60;
+    let book: Book = Book::default();
+    let platform = Server::new();
+    let board = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let mut setting = Setting::new(&[platform.address]);
+    setting.board = Some(board.local_addr().expect("bound"));
+    setting.m3ua = Some(m3ua(Some(listener.local_addr().expect("bound")), 8000));
+    let mut agent = setting.start();
+    let m3ua: SocketAddr = agent.logged("serving M3UA on ").parse().expect("an address");
+
+    // The platform's server answers two of three and refuses the others as full.
+    let mut at_platform = platform.accept();
+    let seen = book.clone();
+    let platform_thread = std::thread::spawn(move || {
+        let mut count = 0;
+        while let Some(message) = at_platform.next() {
+            if message["op"] != "offer" {
+                continue;
+            }
+            count += 1;
+            let place = arrived(&seen, "platform", message["with"]["key"].as_str().expect("text"));
+            over(&seen, place, false);
+            let call = u64::from_str_radix(message["call"].as_str().expect("text"), 16).expect("hex");
+            at_platform.say(if count % 3 == 0 { end(call, 34) } else { accept(call) });
+        }
+    });
+    // The M3UA server beats before each answer, and resets every third set-up.
+    let (drain, drained) = std::sync::mpsc::channel::<()>();
+    let seen = book.clone();
+    let m3ua_thread = std::thread::spawn(move || {
+        let mut peer = Peer::accept(&listener);
+        let (mut count, mut draining) = (0, None);
+        while let Some(heard) = peer.next() {
+            if draining.is_none() && drained.try_recv().is_ok() {
+                peer.say(DRST, &[(0x12, &SERVER.0.to_be_bytes())]);
+                draining = Some(Instant::now());
+            }
+            if heard.kind != DATA {
+                continue;
+            }
+            let message = peer.read(&heard);
+            match message.kind {
+                IAM => {
+                    count += 1;
+                    let place = arrived(&seen, "m3ua", &called(&heard));
+                    peer.say(BEAT, &[(9, &[count])]);
+                    let reset = count % 3 == 0;
+                    over(&seen, place, reset);
+                    let answer = if reset { rel(message.circuit, 41) } else { anm(message.circuit, "") };
+                    peer.data(&answer);
+                }
+                REL => peer.data(&rlc(message.circuit)),
+                _ => {}
+            }
+        }
+        draining
+    });
+
+    let (mut events, _) = board.accept().expect("a connection");
+    bytes(&mut events, 8);
+    let mut caller = agent.caller();
+    let mut client = Peer::active(m3ua);
+    caller.settle();
+    let mut answers: BTreeMap<String, u32> = BTreeMap::new();
+    let mut platform_drained = None;
+    for call in 1..=CALLS {
+        if call == CALLS / 3 {
+            drain.send(()).expect("its thread runs");
+        }
+        if call == 2 * CALLS / 3 {
+            // The M3UA server is left alone by now; the platform's one drains too.
+            events.write_all(&frame(2, 2, &[record(1, platform.address, 1)])).expect("read");
+            platform_drained = Some(Instant::now());
+        }
+        caller.offer(call as u64, 8000, call % 2);
+        let mut user = iam(call as u16, 10, "");
+        let digits = format!("{call:02}");
+        user[14] = (digits.as_bytes()[0] - b'0') << 4 | 3;
+        user[15] = digits.as_bytes()[1] - b'0';
+        client.data(&user);
+        client.say(BEAT, &[(9, &[call as u8])]);
+        std::thread::sleep(Duration::from_millis(30));
+    }
+    // Each caller's answers are read to the end: a later test or heartbeat comes back behind them all.
+    while answers.len() < CALLS {
+        let message = caller.next().expect("an answer");
+        assert!(["accept", "end"].contains(&message["op"].as_str().expect("text")));
+        *answers.entry(message["call"].to_string()).or_default() += 1;
+    }
+    caller.settle();
+    let mut final_answers: BTreeMap<u16, u32> = BTreeMap::new();
+    let mut beats = 0;
+    while final_answers.len() < CALLS || beats < CALLS {
+        let heard = client.next().expect("an answer");
+        match heard.kind {
+            BEAT_ACK => beats += 1,
+            DATA => {
+                let message = client.read(&heard);
+                if [ANM, REL].contains(&message.kind) {
+                    *final_answers.entry(message.circuit).or_default() += 1;
+                }
+            }
+            kind => panic!("{kind:?}"),
+        }
+    }
+    assert!(answers.values().chain(final_answers.values()).all(|&count| count == 1), "one final answer each");
+
+    agent.signal("TERM");
+    assert_eq!(client.expect(DRST).parameters[&0x12], OURS.to_be_bytes());
+    let last = agent.logged("stopped; ");
+    assert!(last.ends_with("breaches 0") && last.starts_with(&format!("offered {}", 2 * CALLS)), "{last}");
+    assert!(agent.ended().success());
+    platform_thread.join().expect("no panic");
+    let m3ua_drained = m3ua_thread.join().expect("no panic").expect("it was drained");
+
+    let grace = Duration::from_millis(500);
+    let book = book.lock().expect("no panic");
+    assert!(["platform", "m3ua"].iter().all(|server| book.iter().any(|seen| seen.server == *server)));
+    let mut attempts: BTreeMap<&str, Vec<&Seen>> = BTreeMap::new();
+    for seen in book.iter() {
+        let told = if seen.server == "m3ua" { Some(m3ua_drained) } else { platform_drained };
+        assert!(seen.at < told.expect("drained") + grace, "nothing new to a draining server: {seen:?}");
+        attempts.entry(&seen.number).or_default().push(seen);
+    }
+    for of_call in attempts.values() {
+        assert!(of_call.len() <= 5);
+        for pair in of_call.windows(2) {
+            let (ended, released) = pair[0].over.expect("over");
+            assert!(pair[1].at >= ended, "one attempt at a time: {pair:?}");
+            assert!(
+                !released || pair[1].at >= ended + Duration::from_millis(200),
+                "released first: {pair:?}"
+            );
+        }
+    }
+}
+
+/// The called number of a set-up that came over M3UA, as the platform writes it.
+fn called(heard: &Heard) -> String {
+    let body = &heard.parameters[&0x210][12 + 3..];
+    let number = &body[5 + usize::from(body[5])..];
+    let digits = &number[3..1 + usize::from(number[0])];
+    let mut text: String =
+        digits.iter().flat_map(|byte| [byte & 15, byte >> 4]).map(|digit| format!("{digit:x}")).collect();
+    if number[1] & 0x80 != 0 {
+        text.pop();
+    }
+    text
+}
