Bound a pressed server by what it says it takes; the way there is no wait

Ruled out: a cold server (started and restart_seen are None), lost reports. At fault: wait() counted the whole age of the oldest set-up that is out, and press() measured what a server takes only by what stood there, which is nothing after a start and little while gapped.

--- a/src/controller.rs
+++ b/src/controller.rs
@@ -134,8 +134,9 @@
     /// Failures in a row that were no pressure, and until when nothing is sent because of them.
     failures: u32,
     shunned_until: Micros,
-    /// The most set-ups a second that it said it can take.
+    /// The most set-ups a second that it said it can take, and what it said last.
     most_allowed: f64,
+    allowed: f64,
     /// `None`: not told.
     lines: Option<Lines>,
     /// Set-ups of ours that are out and unanswered, with the time of sending.
@@ -504,7 +505,8 @@
         // The line is first come, first served: a set-up sent before an answered one is lost, not waiting.
         let waiting =
             server.out.range((server.answered.map_or(Micros::MIN, |at| at + 1), CallId(0))..).next();
-        let overdue = waiting.map_or(0, |&(sent, _)| now - sent);
+        // The way there and back is no wait at the processor.
+        let overdue = waiting.map_or(0, |&(sent, _)| now - sent - server.base.unwrap_or(0));
         let wait = server.wait as f64;
         (wait * (-age / 2e6).exp()).max(wait - age).max(overdue as f64)
     }
@@ -634,7 +636,8 @@
         let Some(server) = self.servers.get(&id) else { return };
         let carried = self.pace(server, now).max(1.0);
         let Some(server) = self.servers.get_mut(&id) else { return };
-        server.most_allowed = server.most_allowed.max(usable(report.allowed).unwrap_or(0.0));
+        server.allowed = usable(report.allowed).unwrap_or(server.allowed);
+        server.most_allowed = server.most_allowed.max(server.allowed);
         let pace = if server.most_allowed > 0.0 { server.most_allowed } else { carried };
         // The table of levels: each kind of report as a wait at the processor. A share to hold back stands
         // for the wait at which `press` holds back as much.
@@ -746,7 +749,8 @@
         let cold = server.warmth(&self.settings.rules, now).map(|part| self.cold_bound(server, part, now));
         let expires = if cold.is_some() { now + DURATION } else { expires };
         let floor = FLOOR * (seconds((now - expires).max(0)) / seconds(DURATION)).exp2();
-        let bound = (self.pace(server, now) * level).max(floor) * self.share_of(server, now);
+        let takes = self.pace(server, now).max(server.allowed);
+        let bound = (takes * level).max(floor) * self.share_of(server, now);
         let bound = if pressed { bound } else { bound.max(cold.unwrap_or(0.0)) };
         let phase = self.random.figure();
         let Some(server) = self.servers.get_mut(&id) else { return };
--- a/tests/gapping.rs
+++ b/tests/gapping.rs
@@ -143,3 +143,27 @@
     stand.pass(7 * SECOND);
     assert_eq!(sent_in_a_second(&mut stand, 0), 10);
 }
+
+#[test]
+fn a_pressed_server_is_sent_what_it_says_it_takes() {
+    // Nothing stood there yet, as after a start of this node: its own measure would stop nearly all.
+    let mut stand = Stand::new(settings(), 1);
+    stand.report(id_of(0), Report { allowed: Some(200.0), ..wait(300.0) });
+    let bound = stand.controller.bound(stand.now, id_of(0)).expect("an image");
+    assert!((40.0..60.0).contains(&bound), "a quarter of 200 a second, for one of four nodes: {bound}");
+}
+
+#[test]
+fn the_way_to_a_far_server_is_no_sign_of_pressure() {
+    let mut stand = Stand::new(settings(), 1);
+    let (id, _) = stand.call(0, 0);
+    stand.pass(500 * MS);
+    stand.first(id, id_of(0), 500 * MS);
+    stand.call(0, 0);
+    stand.pass(400 * MS);
+    stand.event(Event::Timer(Timer::Tick));
+    assert_eq!(stand.controller.bound(stand.now, id_of(0)), None, "its answer is not due yet");
+    stand.pass(400 * MS);
+    stand.event(Event::Timer(Timer::Tick));
+    assert!(stand.controller.bound(stand.now, id_of(0)).is_some(), "now it is late");
+}
