--- a/agent/src/cli.rs
+++ b/agent/src/cli.rs
@@ -8,6 +8,7 @@
 use crate::config::{Config, ConfigError};
 use crate::front::m3ua::{M3uaConfig, M3uaConfigError};
 use crate::net;
+use crate::snmp::{SnmpConfig, SnmpConfigError};
 
 /// A call agent in front of a few shared check servers.
 #[derive(FromArgs)]
@@ -34,6 +35,9 @@
     /// serve M3UA too, as this file says
     #[argh(option)]
     m3ua: Option<PathBuf>,
+    /// answer SNMP too, as this file says
+    #[argh(option)]
+    snmp: Option<PathBuf>,
 }
 
 /// Read the configuration and say what is wrong with it, or what it holds.
@@ -46,6 +50,9 @@
     /// read the file of the M3UA front too
     #[argh(option)]
     m3ua: Option<PathBuf>,
+    /// read the file of the SNMP agent too
+    #[argh(option)]
+    snmp: Option<PathBuf>,
 }
 
 /// Print the version.
@@ -59,6 +66,8 @@
     Config(#[from] ConfigError),
     #[error("configuration: {0}")]
     M3ua(#[from] M3uaConfigError),
+    #[error("configuration: {0}")]
+    Snmp(#[from] SnmpConfigError),
     #[error("{0}")]
     Io(#[from] std::io::Error),
 }
@@ -86,9 +95,10 @@
     fn run(self) -> Result<(), Error> {
         let config = Config::load(self.config.as_deref())?;
         let m3ua = self.m3ua.map(|path| M3uaConfig::load(&path, &config.site)).transpose()?;
+        let snmp = self.snmp.map(|path| SnmpConfig::load(&path)).transpose()?;
         let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
         let local = tokio::task::LocalSet::new();
-        Ok(local.block_on(&runtime, net::serve(config, m3ua))?)
+        Ok(local.block_on(&runtime, net::serve(config, m3ua, snmp))?)
     }
 }
 
@@ -113,6 +123,9 @@
                 m3ua.servers.len()
             );
         }
+        if let Some(path) = self.snmp {
+            println!("SNMP: answers on {}", SnmpConfig::load(&path)?.listen);
+        }
         Ok(())
     }
 }
--- a/agent/src/main.rs
+++ b/agent/src/main.rs
@@ -6,6 +6,7 @@
 mod core;
 mod front;
 mod net;
+mod snmp;
 
 fn main() -> std::process::ExitCode {
     cli::main()
--- a/agent/src/net/conn.rs
+++ b/agent/src/net/conn.rs
@@ -12,7 +12,7 @@
 /// Messages and bytes that may wait for a connection that does not read. Past that it is cut, so that a slow
 /// reader costs neither memory nor anyone else's time.
 const MOST_MESSAGES: usize = 4096;
-const MOST_BYTES: usize = 192 * 1024;
+const MOST_BYTES: usize = 128 * 1024;
 
 /// What waits to be written weighs this much.
 pub trait Weight {
--- a/agent/src/net/mod.rs
+++ b/agent/src/net/mod.rs
@@ -18,7 +18,7 @@
 
 use steprelay_decisions::CallId;
 use steprelay_settings::Site;
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::{TcpListener, TcpStream, UdpSocket};
 use tokio::signal::unix::{signal, SignalKind};
 use tokio::sync::{mpsc, Semaphore};
 use tokio::task::spawn_local;
@@ -29,6 +29,7 @@
 use crate::core::Core;
 use crate::front::m3ua::{self, M3ua, M3uaConfig};
 use crate::front::platform;
+use crate::snmp::{self, SnmpConfig};
 use clock::Clock;
 use owner::Owner;
 use pool::Pool;
@@ -62,7 +63,7 @@
 }
 
 /// Serves until it is told to stop and all that was taken in is answered.
-pub async fn serve(config: Config, m3ua: Option<M3uaConfig>) -> io::Result<()> {
+pub async fn serve(config: Config, m3ua: Option<M3uaConfig>, snmp: Option<SnmpConfig>) -> io::Result<()> {
     let clock = Clock::start();
     let (inputs, queue) = mpsc::channel(INPUTS);
     let site = Rc::new(config.site);
@@ -92,6 +93,11 @@
         let serve = move |stream, number| m3ua::clients::serve(stream, number, shared.clone(), m3ua.clone());
         spawn_local(accept(listener, MOST_M3UA, serve));
     }
+    if let Some(snmp) = snmp {
+        let socket = UdpSocket::bind(snmp.listen).await?;
+        eprintln!("steprelay: serving SNMP on {}", socket.local_addr()?);
+        spawn_local(snmp::serve(socket, snmp, shared.clone()));
+    }
     let serve = move |stream, number| platform::clients::serve(stream, number, shared.clone());
     spawn_local(accept(listener, config.most_clients, serve));
     owner.run(queue).await;
--- a/agent/src/net/owner.rs
+++ b/agent/src/net/owner.rs
@@ -15,6 +15,7 @@
 use crate::core::{Breach, ClientId, Core, Effect, LinkLoss, Source};
 use crate::front::m3ua::{self, M3ua};
 use crate::front::platform;
+use crate::snmp::Snapshot;
 
 /// After a signal to stop, set-ups keep coming for so long: on new connections for 0.4 s, on those for 0.2 s
 /// more, and some time to arrive.
@@ -132,6 +133,13 @@
             | Input::Reported { .. }
             | Input::Tested { .. } => {}
             Input::Listed { source, kind, servers } => self.listed(source, kind, servers),
+            Input::Snapshot(asked) => {
+                let servers = self.core.servers(now).collect();
+                let (unanswered, standing) = (self.core.unanswered(), self.core.standing());
+                let counts = self.core.counts().clone();
+                // Whoever asked may have gone meanwhile.
+                let _ = asked.send(Snapshot { counts, unanswered, standing, servers });
+            }
             Input::Stop => {
                 eprintln!("steprelay: told to stop, {} set-ups are unanswered", self.core.unanswered());
                 self.stopping.get_or_insert(now);
--- a/agent/src/net/ports.rs
+++ b/agent/src/net/ports.rs
@@ -5,8 +5,11 @@
 
 use steprelay_decisions::{CallId, Cause, Entry, ListKind, Report, ServerId};
 
+use tokio::sync::oneshot;
+
 use super::conn::{Outbox, Weight};
 use crate::core::{ClientId, LinkLoss, ReleaseCause, Request, SetUp, Source, Verdict};
+use crate::snmp::Snapshot;
 
 /// Towards a client.
 #[derive(Debug)]
@@ -78,16 +81,58 @@
 
 /// Towards the owner.
 pub enum Input {
-    ClientOpened { client: ClientId, outbox: Outbox<ToClient> },
-    ClientClosed { client: ClientId },
-    Offer { client: ClientId, request: Request },
-    ClientEnded { client: ClientId, call: CallId, cause: ReleaseCause },
-    LinkUp { link: LinkId, outbox: Outbox<ToServer> },
-    LinkLost { link: LinkId, loss: LinkLoss },
-    Answered { link: LinkId, call: CallId, description: Rc<str> },
-    Ended { link: LinkId, call: CallId, cause: ReleaseCause, note: Cause, report: Report },
-    Reported { link: LinkId, report: Report },
-    Tested { link: LinkId, call: CallId, passed: bool, report: Report },
-    Listed { source: Source, kind: ListKind, servers: Vec<(Entry, Way)> },
+    ClientOpened {
+        client: ClientId,
+        outbox: Outbox<ToClient>,
+    },
+    ClientClosed {
+        client: ClientId,
+    },
+    Offer {
+        client: ClientId,
+        request: Request,
+    },
+    ClientEnded {
+        client: ClientId,
+        call: CallId,
+        cause: ReleaseCause,
+    },
+    LinkUp {
+        link: LinkId,
+        outbox: Outbox<ToServer>,
+    },
+    LinkLost {
+        link: LinkId,
+        loss: LinkLoss,
+    },
+    Answered {
+        link: LinkId,
+        call: CallId,
+        description: Rc<str>,
+    },
+    Ended {
+        link: LinkId,
+        call: CallId,
+        cause: ReleaseCause,
+        note: Cause,
+        report: Report,
+    },
+    Reported {
+        link: LinkId,
+        report: Report,
+    },
+    Tested {
+        link: LinkId,
+        call: CallId,
+        passed: bool,
+        report: Report,
+    },
+    Listed {
+        source: Source,
+        kind: ListKind,
+        servers: Vec<(Entry, Way)>,
+    },
+    /// The figures are asked for.
+    Snapshot(oneshot::Sender<Snapshot>),
     Stop,
 }
--- /dev/null
+++ b/agent/src/snmp/mib.rs
@@ -0,0 +1,83 @@
+//! The objects of STEPRELAY-MIB with their values at one moment.
+
+use std::collections::BTreeMap;
+
+use rasn::types::Integer;
+use rasn_smi::v1::Gauge;
+use rasn_smi::v2::{ApplicationSyntax, Counter64, SimpleSyntax};
+use rasn_snmp::v2::ObjectSyntax;
+use steprelay_decisions::Readiness;
+
+use super::Snapshot;
+use crate::core::Breach;
+
+/// netSnmpPlaypen 47: a place for MIBs whose organisation has no number of its own.
+const ROOT: [u32; 10] = [1, 3, 6, 1, 4, 1, 8072, 9999, 9999, 47];
+
+pub type Objects = BTreeMap<Vec<u32>, ObjectSyntax>;
+
+pub fn objects(snapshot: &Snapshot, bad_requests: u64) -> Objects {
+    let mut objects = Objects::new();
+    let mut put = |rest: &[u32], value| {
+        objects.insert([&ROOT, rest].concat(), value);
+    };
+    let counts = &snapshot.counts;
+    let outcomes = [
+        counts.offered,
+        counts.stood,
+        counts.refused,
+        counts.failed,
+        counts.invalid,
+        counts.abandoned,
+        counts.released,
+        counts.cut,
+        counts.released_unknown,
+        counts.releases_lost,
+        counts.answered_late,
+        counts.repeated,
+    ];
+    for (place, count) in (1..).zip(outcomes) {
+        put(&[1, place, 0], counter(count));
+    }
+    put(&[2, 1, 0], gauge(snapshot.unanswered as u64));
+    put(&[2, 2, 0], gauge(snapshot.standing as u64));
+    for (entry, sent, bound) in &snapshot.servers {
+        let state = match entry.state {
+            Readiness::Ready => 1,
+            Readiness::Draining => 2,
+            Readiness::Gone => 3,
+        };
+        let columns = [
+            gauge(entry.number.into()),
+            integer(state),
+            counter(sent.attempts),
+            counter(sent.stood),
+            counter(sent.full),
+            counter(sent.failed),
+            integer(if bound.is_some() { 1 } else { 2 }),
+            // In thousandths of a set-up a second.
+            gauge(bound.map_or(0, |bound| (bound * 1000.0) as u64)),
+        ];
+        for (column, value) in (2..).zip(columns) {
+            put(&[3, 1, 1, column, entry.server.0], value);
+        }
+    }
+    for (place, breach) in (1..).zip(Breach::ALL) {
+        put(&[4, place, 0], counter(counts.breaches(breach)));
+    }
+    put(&[5, 1, 0], counter(bad_requests));
+    objects
+}
+
+fn counter(count: u64) -> ObjectSyntax {
+    ObjectSyntax::ApplicationWide(ApplicationSyntax::BigCounter(Counter64(count)))
+}
+
+fn gauge(value: u64) -> ObjectSyntax {
+    let value = Gauge(value.try_into().unwrap_or(u32::MAX));
+    ObjectSyntax::ApplicationWide(ApplicationSyntax::Unsigned(value))
+}
+
+fn integer(value: i32) -> ObjectSyntax {
+    ObjectSyntax::Simple(SimpleSyntax::Integer(Integer::from(value)))
+}
--- /dev/null
+++ b/agent/src/snmp/mod.rs
@@ -0,0 +1,76 @@
+//! A read-only SNMP v2c agent with a MIB of its own (`mibs/STEPRELAY-MIB`), for the operators' monitoring.
+
+mod mib;
+mod pdu;
+
+use std::io;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+
+use serde::Deserialize;
+use steprelay_decisions::Entry;
+use tokio::net::UdpSocket;
+use tokio::sync::oneshot;
+
+use crate::core::{Counts, ServerCounts};
+use crate::net::ports::Input;
+use crate::net::Shared;
+
+#[derive(Debug, thiserror::Error)]
+pub enum SnmpConfigError {
+    #[error("{}: {error}", path.display())]
+    Unreadable { path: PathBuf, error: io::Error },
+    #[error("{}: {error}", path.display())]
+    NotToml { path: PathBuf, error: Box<toml::de::Error> },
+}
+
+/// What `deploy/snmp.toml` says.
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct SnmpConfig {
+    pub listen: SocketAddr,
+    community: String,
+}
+
+impl SnmpConfig {
+    pub fn load(path: &Path) -> Result<Self, SnmpConfigError> {
+        let path = path.to_path_buf();
+        let text = std::fs::read_to_string(&path)
+            .map_err(|error| SnmpConfigError::Unreadable { path: path.clone(), error })?;
+        toml::from_str(&text).map_err(|error| SnmpConfigError::NotToml { path, error: Box::new(error) })
+    }
+}
+
+/// The figures at one moment.
+pub struct Snapshot {
+    pub counts: Counts,
+    pub unanswered: usize,
+    pub standing: usize,
+    /// Each server with the bound of its image, if it has one.
+    pub servers: Vec<(Entry, ServerCounts, Option<f64>)>,
+}
+
+/// No request that makes sense is longer.
+const LONGEST: usize = 8 * 1024;
+
+/// Answers requests one after the other, each from figures of its moment.
+pub async fn serve(socket: UdpSocket, config: SnmpConfig, shared: Shared) {
+    let mut bytes = vec![0; LONGEST];
+    let mut bad = 0;
+    loop {
+        // An error here is a peer's that has closed its port: the next request is not concerned.
+        let Ok((length, from)) = socket.recv_from(&mut bytes).await else { continue };
+        let Some(request) = pdu::read(&bytes[..length], config.community.as_bytes()) else {
+            bad += 1;
+            continue;
+        };
+        let (ask, answer) = oneshot::channel();
+        if shared.inputs.send(Input::Snapshot(ask)).await.is_err() {
+            return;
+        }
+        let Ok(snapshot) = answer.await else { return };
+        if let Some(response) = pdu::answer(request, &mib::objects(&snapshot, bad)) {
+            let _ = socket.send_to(&response, from).await;
+        }
+    }
+}
--- /dev/null
+++ b/agent/tests/snmp.rs
@@ -0,0 +1,103 @@
+//! The SNMP agent, asked by a client of another make.
+
+mod common;
+
+use std::collections::BTreeMap;
+use std::net::{SocketAddr, UdpSocket};
+
+use common::*;
+use snmp2::{Oid, SyncSession, Value};
+
+const ROOT: [u64; 10] = [1, 3, 6, 1, 4, 1, 8072, 9999, 9999, 47];
+const PUBLIC: &[u8] = b"semak";
+
+fn oid(rest: &[u64]) -> Oid<'static> {
+    Oid::from(&[&ROOT, rest].concat()).expect("an object's name")
+}
+
+fn figure(value: &Value) -> Option<u64> {
+    match value {
+        Value::Counter64(figure) => Some(*figure),
+        Value::Unsigned32(figure) => Some((*figure).into()),
+        Value::Integer(figure) => u64::try_from(*figure).ok(),
+        _ => None,
+    }
+}
+
+fn get(session: &mut SyncSession, rest: &[u64]) -> Option<u64> {
+    let answer = session.get(&oid(rest)).expect("an answer");
+    let (name, value) = answer.varbinds.clone().next().expect("one variable");
+    assert_eq!(name, oid(rest));
+    figure(&value)
+}
+
+/// The program with a call that stands and one that was refused, and a session with its agent.
+fn start() -> (Agent, Lines, SyncSession, SocketAddr) {
+    let server = Server::new();
+    let mut setting = Setting::new(&[server.address]);
+    setting.snmp = Some("listen = '127.0.0.1:0'\ncommunity = 'semak'\n".to_string());
+    let mut agent = setting.start();
+    let address: SocketAddr = agent.logged("serving SNMP on ").parse().expect("an address");
+    let (mut caller, mut at_server) = (agent.caller(), server.accept());
+    for (call, answer) in [(1, accept(1)), (2, end(2, 34))] {
+        caller.offer(call, 5000, 0);
+        at_server.expect("offer", call);
+        at_server.say(answer);
+        caller.next().expect("an answer");
+    }
+    let session = SyncSession::new_v2c(address, PUBLIC, Some(PATIENCE), 1).expect("a socket");
+    (agent, at_server, session, address)
+}
+
+#[test]
+fn calls_servers_and_breaches_can_be_read() {
+    let (_agent, _server, mut session, _) = start();
+    // Offered, stood, refused and failed; unanswered and standing.
+    let calls: Vec<_> = (1..=4).map(|object| get(&mut session, &[1, object, 0])).collect();
+    assert_eq!(calls, [Some(2), Some(1), Some(1), Some(0)]);
+    assert_eq!((get(&mut session, &[2, 1, 0]), get(&mut session, &[2, 2, 0])), (Some(0), Some(1)));
+    // Number, state, attempts, stood and full of the server whose id is 1.
+    let server: Vec<_> = (2..=6).map(|column| get(&mut session, &[3, 1, 1, column, 1])).collect();
+    assert_eq!(server, [Some(0), Some(1), Some(2), Some(1), Some(1)]);
+    assert_eq!(get(&mut session, &[4, 1, 0]), Some(0));
+    assert_eq!(get(&mut session, &[9, 9, 0]), None, "no such instance");
+}
+
+#[test]
+fn walks_one_by_one_and_in_bulk_see_the_same() {
+    let (_agent, _server, mut session, _) = start();
+    let (mut walked, mut at) = (BTreeMap::new(), oid(&[]));
+    loop {
+        let answer = session.getnext(&at).expect("an answer");
+        let (name, value) = answer.varbinds.clone().next().expect("one variable");
+        let Some(figure) = figure(&value) else { break };
+        let name = name.to_owned();
+        assert!(walked.insert(name.to_string(), figure).is_none(), "{name} comes again");
+        at = name;
+    }
+    assert_eq!(walked.len(), 12 + 2 + 8 + 7 + 1);
+    let answer = session.getbulk(&[&oid(&[])], 0, 100).expect("an answer");
+    let bulk: BTreeMap<_, _> = answer
+        .varbinds
+        .clone()
+        .filter_map(|(name, value)| Some((name.to_string(), figure(&value)?)))
+        .collect();
+    assert_eq!(bulk, walked);
+}
+
+#[test]
+fn what_is_no_request_for_it_is_dropped_and_counted_and_nothing_can_be_set() {
+    let (_agent, _server, mut session, address) = start();
+    let socket = UdpSocket::bind("127.0.0.1:0").expect("a port");
+    for bad in [&b"\x30\x03\x02\x01"[..], b"", &[0x30; 600], b"GET / HTTP/1.1\r\n\r\n"] {
+        socket.send_to(bad, address).expect("sent");
+    }
+    let mut stranger =
+        SyncSession::new_v2c(address, b"public", Some(std::time::Duration::from_millis(50)), 1)
+            .expect("a socket");
+    assert!(stranger.get(&oid(&[1, 1, 0])).is_err(), "another community gets no answer");
+    let answer = session.set(&[(&oid(&[1, 1, 0]), Value::Counter64(9))]).expect("an answer");
+    assert_eq!(answer.error_status, 17, "not writable");
+    assert_eq!(get(&mut session, &[1, 1, 0]), Some(2));
+    assert_eq!(get(&mut session, &[5, 1, 0]), Some(5));
+}
