--- a/agent/src/cli.rs
+++ b/agent/src/cli.rs
@@ -5,10 +5,10 @@
 
 use argh::FromArgs;
 
-use crate::config::{Config, ConfigError};
+use crate::config::{read_toml, Config, ConfigError, FileError};
 use crate::front::m3ua::{M3uaConfig, M3uaConfigError};
 use crate::net;
-use crate::snmp::{SnmpConfig, SnmpConfigError};
+use crate::snmp::SnmpConfig;
 
 /// A call agent in front of a few shared check servers.
 #[derive(FromArgs)]
@@ -67,7 +67,7 @@
     #[error("configuration: {0}")]
     M3ua(#[from] M3uaConfigError),
     #[error("configuration: {0}")]
-    Snmp(#[from] SnmpConfigError),
+    File(#[from] FileError),
     #[error("{0}")]
     Io(#[from] std::io::Error),
 }
@@ -95,7 +95,7 @@
     fn run(self) -> Result<(), Error> {
         let config = Config::load(self.config.as_deref())?;
         let m3ua = self.m3ua.map(|path| M3uaConfig::load(&path, &config.site)).transpose()?;
-        let snmp = self.snmp.map(|path| SnmpConfig::load(&path)).transpose()?;
+        let snmp = self.snmp.as_deref().map(read_toml).transpose()?;
         let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
         let local = tokio::task::LocalSet::new();
         Ok(local.block_on(&runtime, net::serve(config, m3ua, snmp))?)
@@ -124,7 +124,8 @@
             );
         }
         if let Some(path) = self.snmp {
-            println!("SNMP: answers on {}", SnmpConfig::load(&path)?.listen);
+            let snmp: SnmpConfig = read_toml(&path)?;
+            println!("SNMP: answers on {}", snmp.listen);
         }
         Ok(())
     }
--- a/agent/src/config.rs
+++ b/agent/src/config.rs
@@ -4,6 +4,7 @@
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 
+use serde::de::DeserializeOwned;
 use serde::Deserialize;
 use steprelay_decisions::{Entry, ListKind, Readiness};
 use steprelay_settings::Site;
@@ -24,6 +25,23 @@
     Wrong { field: &'static str, why: String },
 }
 
+/// Why one of our own files can't be used.
+#[derive(Debug, thiserror::Error)]
+pub enum FileError {
+    #[error("{}: {error}", path.display())]
+    Unreadable { path: PathBuf, error: std::io::Error },
+    #[error("{}: {error}", path.display())]
+    NotToml { path: PathBuf, error: Box<toml::de::Error> },
+}
+
+/// Reads one of our own files.
+pub fn read_toml<T: DeserializeOwned>(path: &Path) -> Result<T, FileError> {
+    let named = || path.to_path_buf();
+    let text =
+        std::fs::read_to_string(path).map_err(|error| FileError::Unreadable { path: named(), error })?;
+    toml::from_str(&text).map_err(|error| FileError::NotToml { path: named(), error: Box::new(error) })
+}
+
 #[derive(Debug)]
 pub struct Config {
     pub name: String,
@@ -99,6 +117,8 @@
 
 /// Where the limits name no number of descriptors.
 const SOCKETS: usize = 1024;
+/// The program's own descriptors: its listeners, the board, a server each, the runtime's.
+const OWN_SOCKETS: usize = 24;
 
 impl Config {
     /// Reads the file that was named, or else the one in `LB_CONFIG`.
@@ -122,6 +142,7 @@
             "" => 0,
             hex => u64::from_str_radix(hex, 16).map_err(|error| wrong("seed", error.to_string()))?,
         };
+        let sockets = raw.limits.sockets.unwrap_or(SOCKETS);
         Ok(Config {
             name: raw.name,
             listen: address("listen", &raw.listen)?,
@@ -129,9 +150,8 @@
             board: raw.board.as_deref().map(|text| address("board", text)).transpose()?,
             known: known(raw.known)?,
             site,
-            // Callers hold a third of the descriptors; twice that leaves room for connections that are
-            // closing, and a third for servers, the board and the rest.
-            most_clients: raw.limits.sockets.unwrap_or(SOCKETS) * 2 / 3,
+            // Callers hold a third of the descriptors; twice that leaves room for connections that close.
+            most_clients: (sockets * 2 / 3).min(sockets.saturating_sub(OWN_SOCKETS)).max(1),
         })
     }
 }
--- a/agent/src/core/mod.rs
+++ b/agent/src/core/mod.rs
@@ -18,9 +18,7 @@
 use std::collections::{BTreeMap, BinaryHeap, VecDeque};
 use std::rc::Rc;
 
-use steprelay_decisions::{
-    Action, CallId, Cause, End, Entry, Event, ListKind, Micros, Outcome, Report, ServerId, Timer,
-};
+use steprelay_decisions::{Action, CallId, Entry, Event, ListKind, Micros, Report, ServerId, Timer};
 use steprelay_settings::Site;
 
 use admit::Admission;
@@ -230,29 +228,4 @@
             }
         }
     }
-
-    /// Reports an attempt's end to the decisions, without carrying out anything yet.
-    #[allow(clippy::too_many_arguments)]
-    fn attempt_over(
-        &mut self,
-        now: Micros,
-        call: CallId,
-        attempt: send::Attempt,
-        outcome: Outcome,
-        cause: Cause,
-        last: bool,
-        report: Report,
-    ) {
-        let end = End {
-            call,
-            server: attempt.server,
-            attempt: attempt.number,
-            lag: now - attempt.sent,
-            outcome,
-            cause,
-            last,
-            report,
-        };
-        self.decide(now, Event::Ended(end));
-    }
 }
--- a/agent/src/core/relay.rs
+++ b/agent/src/core/relay.rs
@@ -7,7 +7,7 @@
 use std::collections::{BTreeMap, VecDeque};
 use std::rc::Rc;
 
-use steprelay_decisions::{CallId, Cause, Event, Micros, Outcome, Report, ServerId};
+use steprelay_decisions::{CallId, Cause, End, Event, Micros, Outcome, Report, ServerId};
 
 use super::book::Over;
 use super::send::Attempt;
@@ -151,7 +151,8 @@
     ) {
         let out = self.pending.get(&call).and_then(|pending| pending.out);
         if let Some(attempt) = out.filter(|attempt| attempt.server == server) {
-            return self.end_attempt(now, call, attempt, cause.outcome_before_answer(), note, report);
+            let end = attempt.ended(now, call, cause.outcome_before_answer());
+            return self.end_attempt(now, End { cause: note, report, ..end });
         }
         let standing = self.relay.stands(call).filter(|standing| standing.attempt.server == server);
         if let Some(&standing) = standing {
@@ -192,7 +193,8 @@
 
     fn call_over(&mut self, now: Micros, call: CallId, over: Standing, outcome: Outcome, report: Report) {
         self.book.released(call, over.attempt.server, outcome);
-        self.attempt_over(now, call, over.attempt, outcome, Cause::Untold, true, report);
+        let end = End { last: true, report, ..over.attempt.ended(now, call, outcome) };
+        self.decide(now, Event::Ended(end));
     }
 
     fn release_to(&mut self, now: Micros, client: Option<ClientId>, call: CallId, cause: ReleaseCause) {
--- a/agent/src/core/send.rs
+++ b/agent/src/core/send.rs
@@ -4,7 +4,7 @@
 use std::cmp::Reverse;
 use std::rc::Rc;
 
-use steprelay_decisions::{CallId, Cause, Event, Micros, Outcome, Report, ServerId};
+use steprelay_decisions::{CallId, Cause, End, Event, Micros, Outcome, Report, ServerId};
 
 use super::book::Over;
 use super::take_in::{answer_by, Unfit};
@@ -17,6 +17,22 @@
     pub sent: Micros,
 }
 
+impl Attempt {
+    /// Its end as the decisions are told of it, with nothing said besides the outcome.
+    pub fn ended(self, now: Micros, call: CallId, outcome: Outcome) -> End {
+        End {
+            call,
+            server: self.server,
+            attempt: self.number,
+            lag: now - self.sent,
+            outcome,
+            cause: Cause::Untold,
+            last: false,
+            report: Report::default(),
+        }
+    }
+}
+
 /// A call that was taken in and has no final answer.
 pub struct Pending {
     pub client: ClientId,
@@ -88,7 +104,7 @@
         pending.attempts += 1;
         if let Some(breach) = breach {
             self.book.breach(breach);
-            self.attempt_over(now, call, attempt, Outcome::Moot, Cause::Untold, false, Report::default());
+            self.decide(now, Event::Ended(attempt.ended(now, call, Outcome::Moot)));
             return;
         }
         let stop_at = stop_at.min(pending.answer_by);
@@ -118,27 +134,19 @@
         let Some(pending) = self.pending.get_mut(&call) else { return };
         let Some(attempt) = pending.out.filter(|attempt| attempt.number == number) else { return };
         self.effects.push(Effect::GiveUp { server: attempt.server, call });
-        self.end_attempt(now, call, attempt, outcome, Cause::Untold, Report::default());
+        self.end_attempt(now, attempt.ended(now, call, outcome));
     }
 
     /// Books the end of an attempt of a call that does not stand.
-    pub(super) fn end_attempt(
-        &mut self,
-        now: Micros,
-        call: CallId,
-        attempt: Attempt,
-        outcome: Outcome,
-        cause: Cause,
-        report: Report,
-    ) {
-        self.book.unanswered(attempt.server, outcome);
-        if let Some(pending) = self.pending.get_mut(&call) {
+    pub(super) fn end_attempt(&mut self, now: Micros, end: End) {
+        self.book.unanswered(end.server, end.outcome);
+        if let Some(pending) = self.pending.get_mut(&end.call) {
             pending.out = None;
-            if matches!(outcome, Outcome::Timeout | Outcome::Reset | Outcome::Cancelled) {
+            if matches!(end.outcome, Outcome::Timeout | Outcome::Reset | Outcome::Cancelled) {
                 pending.not_before = now + self.site.decisions.release;
             }
         }
-        self.attempt_over(now, call, attempt, outcome, cause, false, report);
+        self.decide(now, Event::Ended(end));
     }
 
     /// The time for a final answer has come. The decisions have given it by now; this guards against a call
@@ -183,7 +191,7 @@
             LinkLoss::Dropped => Outcome::Reset,
         };
         for (call, attempt) in self.out_at(server) {
-            self.end_attempt(now, call, attempt, outcome, Cause::Untold, Report::default());
+            self.end_attempt(now, attempt.ended(now, call, outcome));
         }
         if loss == LinkLoss::Refused {
             self.server_dead(now, server, Micros::MAX);
@@ -194,7 +202,7 @@
     pub fn not_sent(&mut self, now: Micros, server: ServerId, call: CallId) {
         let out = self.pending.get(&call).and_then(|pending| pending.out);
         if let Some(attempt) = out.filter(|attempt| attempt.server == server) {
-            self.end_attempt(now, call, attempt, Outcome::ConnectFailed, Cause::Untold, Report::default());
+            self.end_attempt(now, attempt.ended(now, call, Outcome::ConnectFailed));
         }
     }
 
--- a/agent/src/core/tests.rs
+++ b/agent/src/core/tests.rs
@@ -1,6 +1,6 @@
 //! The core with a clock that the test moves: what it does about each thing that happens.
 
-use steprelay_decisions::{Class, Limits, Readiness, Settings};
+use steprelay_decisions::{Cause, Class, Limits, Readiness, Settings};
 
 use super::*;
 
--- a/agent/src/front/m3ua/config.rs
+++ b/agent/src/front/m3ua/config.rs
@@ -1,20 +1,19 @@
 //! What `deploy/m3ua.toml` says: our point code, and the peers on either side.
 
 use std::net::SocketAddr;
-use std::path::{Path, PathBuf};
+use std::path::Path;
 
 use serde::Deserialize;
 use steprelay_decisions::{Entry, Micros, Readiness, ServerId};
 use steprelay_settings::Site;
 
+use crate::config::{read_toml, FileError};
 use crate::net::ports::Way;
 
 #[derive(Debug, thiserror::Error)]
 pub enum M3uaConfigError {
-    #[error("{}: {error}", path.display())]
-    Unreadable { path: PathBuf, error: std::io::Error },
-    #[error("{}: {error}", path.display())]
-    NotToml { path: PathBuf, error: Box<toml::de::Error> },
+    #[error(transparent)]
+    File(#[from] FileError),
     #[error("m3ua: {0}")]
     Wrong(String),
 }
@@ -120,11 +119,7 @@
 
 impl M3uaConfig {
     pub fn load(path: &Path, site: &Site) -> Result<Self, M3uaConfigError> {
-        let path = path.to_path_buf();
-        let text = std::fs::read_to_string(&path)
-            .map_err(|error| M3uaConfigError::Unreadable { path: path.clone(), error })?;
-        let raw = toml::from_str(&text)
-            .map_err(|error| M3uaConfigError::NotToml { path, error: Box::new(error) })?;
+        let raw = read_toml(path)?;
         Self::from_raw(raw, site)
     }
 
@@ -154,10 +149,10 @@
             listen: raw.listen,
             point_code: raw.point_code,
             network: raw.network_indicator,
-            classes: classes.collect::<Result<_, _>>()?,
+            classes: classes.collect::<Result<_, M3uaConfigError>>()?,
             routes: raw.route,
-            clients: clients.collect::<Result<_, _>>()?,
-            servers: servers.collect::<Result<_, _>>()?,
+            clients: clients.collect::<Result<_, M3uaConfigError>>()?,
+            servers: servers.collect::<Result<_, M3uaConfigError>>()?,
         };
         for (place, client) in config.clients.iter().enumerate() {
             if config.clients[..place].iter().any(|other| other.routing_context == client.routing_context) {
--- a/agent/src/snmp/mod.rs
+++ b/agent/src/snmp/mod.rs
@@ -3,9 +3,7 @@
 mod mib;
 mod pdu;
 
-use std::io;
 use std::net::SocketAddr;
-use std::path::{Path, PathBuf};
 
 use serde::Deserialize;
 use steprelay_decisions::Entry;
@@ -16,14 +14,6 @@
 use crate::net::ports::Input;
 use crate::net::Shared;
 
-#[derive(Debug, thiserror::Error)]
-pub enum SnmpConfigError {
-    #[error("{}: {error}", path.display())]
-    Unreadable { path: PathBuf, error: io::Error },
-    #[error("{}: {error}", path.display())]
-    NotToml { path: PathBuf, error: Box<toml::de::Error> },
-}
-
 /// What `deploy/snmp.toml` says.
 #[derive(Debug, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -32,15 +22,6 @@
     community: String,
 }
 
-impl SnmpConfig {
-    pub fn load(path: &Path) -> Result<Self, SnmpConfigError> {
-        let path = path.to_path_buf();
-        let text = std::fs::read_to_string(&path)
-            .map_err(|error| SnmpConfigError::Unreadable { path: path.clone(), error })?;
-        toml::from_str(&text).map_err(|error| SnmpConfigError::NotToml { path, error: Box::new(error) })
-    }
-}
-
 /// The figures at one moment.
 pub struct Snapshot {
     pub counts: Counts,
