Name client and circuit in the ids of M3UA calls, so releases survive a restart

Seen: a server's release of an M3UA caller's call came to nothing after a restart, as the call was not known and any caller's connection was as good as none. At fault was release_to() with no client in core/relay.rs. The id that such a call gets now names its client, its circuit and the start; the release goes to that client when it is back. A story kills the program between answer and release.

--- a/agent/src/core/mod.rs
+++ b/agent/src/core/mod.rs
@@ -6,6 +6,7 @@
 
 mod admit;
 mod book;
+mod bound;
 mod cause;
 mod relay;
 mod route;
@@ -24,6 +25,7 @@
 use admit::Admission;
 use book::Book;
 pub use book::{Breach, Counts, ServerCounts};
+pub use bound::BoundCall;
 pub use cause::ReleaseCause;
 use relay::Relay;
 use route::Route;
--- a/agent/src/core/relay.rs
+++ b/agent/src/core/relay.rs
@@ -11,7 +11,7 @@
 
 use super::book::Over;
 use super::send::Attempt;
-use super::{ClientId, Core, Effect, ReleaseCause, Verdict, Wake};
+use super::{BoundCall, ClientId, Core, Effect, ReleaseCause, Verdict, Wake};
 
 /// A release that no client could take is worth keeping this long.
 const HOLD_RELEASES: Micros = 10_000_000;
@@ -168,7 +168,8 @@
             // It stood before this process started; its caller still waits for the release.
             self.book.counts.released_unknown += 1;
             self.book.note_over(call, Over::Answered);
-            self.release_to(now, None, call, cause);
+            let client = BoundCall::of(call).map(BoundCall::client_id);
+            self.release_to(now, client, call, cause);
         }
     }
 
--- a/agent/src/core/tests.rs
+++ b/agent/src/core/tests.rs
@@ -205,6 +205,18 @@
     assert_eq!(stand.core.take_effects(), [release(ONE), release(TWO)]);
 }
 
+#[test]
+fn a_release_after_a_restart_finds_the_circuit_that_the_id_names() {
+    let bound = BoundCall { client: 3, circuit: 0xabc, start: 0x3ff };
+    let call = bound.id(u64::MAX);
+    assert_eq!((BoundCall::of(call), BoundCall::of(CallId(7))), (Some(bound), None));
+    let mut stand = Stand::new();
+    assert_eq!(stand.end(ONE, call.0, ReleaseCause::NORMAL), [], "its client is not back yet");
+    stand.core.client_opened(stand.now, bound.client_id());
+    let relayed = Effect::Released { client: bound.client_id(), call, cause: ReleaseCause::NORMAL };
+    assert_eq!(stand.core.take_effects(), [relayed]);
+}
+
 #[test]
 fn a_server_that_is_gone_takes_its_calls_with_it() {
     let mut stand = Stand::new();
--- a/agent/src/front/m3ua/clients.rs
+++ b/agent/src/front/m3ua/clients.rs
@@ -3,13 +3,13 @@
 use std::io;
 use std::rc::Rc;
 
-use steprelay_decisions::Micros;
+use steprelay_decisions::{CallId, Micros};
 use tokio::net::TcpStream;
 
 use super::isup::{self, Call};
 use super::wire::{self, tag, Fault, Kind, Message};
 use super::{call_message, ClientState, Line, M3ua, Refused};
-use crate::core::{ClientId, ReleaseCause, Request, Verdict};
+use crate::core::{BoundCall, ClientId, ReleaseCause, Request, Verdict};
 use crate::net::conn::{self, Incoming, Outbox, Weight};
 use crate::net::ports::{Input, ToClient};
 use crate::net::Shared;
@@ -186,7 +186,7 @@
                 let Some(class) = config.class(category) else {
                     return self.call(place, circuit, invalid()).await;
                 };
-                let call = self.shared.new_call();
+                let call = self.line.m3ua.new_call(place, circuit);
                 self.client(place).circuits.borrow_mut().seize(circuit, call);
                 let request = Request {
                     call,
@@ -220,6 +220,16 @@
         }
     }
 
+    /// A call that stood before this process started is not known here, but its id names its circuit. One of
+    /// this process that is not known has been released by the client already.
+    fn recall(&self, place: usize, call: CallId) {
+        let named = BoundCall::of(call).filter(|named| named.start != self.line.m3ua.start);
+        let mut circuits = self.client(place).circuits.borrow_mut();
+        if let Some(BoundCall { circuit, .. }) = named.filter(|named| circuits.is_idle(named.circuit)) {
+            circuits.seize(circuit, call);
+        }
+    }
+
     async fn tell(&self, message: ToClient) -> io::Result<()> {
         let State::Active(place) = self.state else { return Ok(()) };
         let client = self.client(place);
@@ -236,7 +246,10 @@
             }
             ToClient::Final { call, verdict: Verdict::Failed } => (call, ReleaseCause::TEMPORARY, None),
             ToClient::Final { call, verdict: Verdict::Invalid } => (call, ReleaseCause::PROTOCOL, None),
-            ToClient::Released { call, cause } => (call, cause, None),
+            ToClient::Released { call, cause } => {
+                self.recall(place, call);
+                (call, cause, None)
+            }
             ToClient::Draining => {
                 return self.line.destination(Kind::Drst, self.line.m3ua.config.point_code).await
             }
--- a/agent/src/front/m3ua/config.rs
+++ b/agent/src/front/m3ua/config.rs
@@ -154,6 +154,9 @@
             clients: clients.collect::<Result<_, M3uaConfigError>>()?,
             servers: servers.collect::<Result<_, M3uaConfigError>>()?,
         };
+        if config.clients.len() > usize::from(u8::MAX) {
+            return Err(M3uaConfigError::Wrong("more than 255 clients".into()));
+        }
         for (place, client) in config.clients.iter().enumerate() {
             if config.clients[..place].iter().any(|other| other.routing_context == client.routing_context) {
                 let why = format!("client '{}': its routing context is another's too", client.name);
--- a/agent/src/front/m3ua/mod.rs
+++ b/agent/src/front/m3ua/mod.rs
@@ -13,10 +13,10 @@
 use std::io;
 use std::rc::Rc;
 
-use steprelay_decisions::{ListKind, Micros, Readiness};
+use steprelay_decisions::{CallId, ListKind, Micros, Readiness};
 use tokio::net::TcpStream;
 
-use crate::core::Source;
+use crate::core::{BoundCall, Source};
 use crate::net::conn;
 use crate::net::pool::{Buffer, Pool};
 use crate::net::ports::Input;
@@ -29,6 +29,9 @@
     pub config: M3uaConfig,
     clients: Vec<ClientState>,
     servers: Vec<ServerState>,
+    /// Tells calls of this start from those of earlier ones.
+    start: u16,
+    serial: Cell<u64>,
 }
 
 #[derive(Default)]
@@ -47,10 +50,17 @@
 }
 
 impl M3ua {
-    pub fn new(config: M3uaConfig) -> Self {
+    pub fn new(config: M3uaConfig, now: Micros) -> Self {
         let clients = config.clients.iter().map(|_| ClientState::default()).collect();
         let servers = config.servers.iter().map(|_| ServerState::default()).collect();
-        M3ua { config, clients, servers }
+        let start = (now / 1000 % 1024) as u16;
+        M3ua { config, clients, servers, start, serial: Cell::new(0) }
+    }
+
+    /// The id of a call that comes on a circuit of a client.
+    fn new_call(&self, client: usize, circuit: u16) -> CallId {
+        self.serial.set(self.serial.get() + 1);
+        BoundCall { client: client as u8, circuit, start: self.start }.id(self.serial.get())
     }
 
     /// The servers of the configuration, to be listed at the start.
--- a/agent/src/net/mod.rs
+++ b/agent/src/net/mod.rs
@@ -68,7 +68,7 @@
     let (inputs, queue) = mpsc::channel(INPUTS);
     let site = Rc::new(config.site);
     let calls = Rc::new(Cell::new(config.seed ^ clock.now() as u64));
-    let m3ua = m3ua.map(|config| Rc::new(M3ua::new(config)));
+    let m3ua = m3ua.map(|config| Rc::new(M3ua::new(config, clock.now())));
     let shared = Shared { clock, pool: Pool::default(), site: site.clone(), inputs, calls };
     let mut terminate = signal(SignalKind::terminate())?;
     let stop = shared.inputs.clone();
--- a/agent/tests/m3ua.rs
+++ b/agent/tests/m3ua.rs
@@ -377,6 +377,26 @@
     assert_eq!(client.expect_call(REL, 3).cause, 16);
 }
 
+#[test]
+fn a_call_that_outlives_the_program_is_released_on_its_circuit() {
+    let server = Server::new();
+    let (agent, address) = start(&[server.address], m3ua(None, 5000));
+    let mut at_server = server.accept();
+    let mut client = Peer::active(address);
+    client.data(&iam(9, 10, ""));
+    let call = call_of(&at_server.next().expect("a set-up"), &mut at_server);
+    at_server.say(accept(call));
+    client.expect_call(ACM, 9);
+    client.expect_call(ANM, 9);
+    drop(agent);
+    let (_agent, address) = start(&[server.address], m3ua(None, 5000));
+    let mut at_server = server.accept();
+    at_server.say(end(call, 16));
+    at_server.expect("ended", call);
+    let mut client = Peer::active(address);
+    assert_eq!(client.expect_call(REL, 9).cause, 16);
+}
+
 #[test]
 fn a_caller_of_the_platform_reaches_a_server_over_m3ua() {
     let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
