Hold no image of an unreported server, and no rush that its calls do not bear out

A probe of press() showed servers with 183 calls standing half a second after none were told, so lines.pace was 72/s against an allowed 33/s, and the bound fell to 0.6/s. Late answers alone had made images before any report too, which DESIGN rules out. At fault: carried in report(), and the tick in decide().

--- a/src/controller.rs
+++ b/src/controller.rs
@@ -128,6 +128,8 @@
     /// Latest figure for the wait at its processor, and when it came.
     wait: Micros,
     wait_at: Micros,
+    /// It has told something of its processor.
+    reported: bool,
     /// The wait as last reported.
     told: Micros,
     told_at: Micros,
@@ -315,7 +317,9 @@
                 let held = self.servers.iter().map(|(id, server)| {
                     let image = server.image(now).is_some();
                     let cold = server.warmth(&self.settings.rules, now).is_some();
-                    (*id, self.wait(server, now) > self.calm, image || cold)
+                    // A server that has told nothing of its processor holds no image.
+                    let pressed = server.reported && self.wait(server, now) > self.calm;
+                    (*id, pressed, image || cold)
                 });
                 let held: Vec<_> = held.filter(|(_, pressed, image)| *pressed || *image).collect();
                 for (id, pressed, _) in held {
@@ -634,7 +638,10 @@
             self.lines_told(now, id, free, size);
         }
         let Some(server) = self.servers.get(&id) else { return };
-        let carried = self.pace(server, now).max(1.0);
+        // Calls that were there already when their lines are first told seem to come all at once; but none
+        // takes several times what its standing calls amount to.
+        let steady = |lines: Lines| GROWTH * lines.standing / seconds(self.mean_hold as Micros);
+        let carried = self.pace(server, now).min(server.lines.map_or(f64::MAX, steady)).max(1.0);
         let Some(server) = self.servers.get_mut(&id) else { return };
         server.allowed = usable(report.allowed).unwrap_or(server.allowed);
         server.most_allowed = server.most_allowed.max(server.allowed);
@@ -666,6 +673,7 @@
         if let Some(wait) = [wait, asked].into_iter().flatten().reduce(f64::max).or(short).or(busy) {
             server.wait = wait as Micros;
             server.wait_at = now;
+            server.reported = true;
             let pressed = server.wait as f64 > self.calm;
             server.heard(pressed);
             if pressed || server.image(now).is_some() {
--- a/tests/gapping.rs
+++ b/tests/gapping.rs
@@ -159,6 +159,7 @@
     let (id, _) = stand.call(0, 0);
     stand.pass(500 * MS);
     stand.first(id, id_of(0), 500 * MS);
+    stand.report(id_of(0), wait(0.0));
     stand.call(0, 0);
     stand.pass(400 * MS);
     stand.event(Event::Timer(Timer::Tick));
@@ -167,3 +168,23 @@
     stand.event(Event::Timer(Timer::Tick));
     assert!(stand.controller.bound(stand.now, id_of(0)).is_some(), "now it is late");
 }
+
+#[test]
+fn late_answers_make_no_image_of_a_server_that_has_reported_nothing() {
+    let mut stand = Stand::new(settings(), 1);
+    stand.call(0, 0);
+    stand.pass(800 * MS);
+    stand.event(Event::Timer(Timer::Tick));
+    assert_eq!(stand.controller.bound(stand.now, id_of(0)), None);
+}
+
+#[test]
+fn calls_that_stood_before_their_lines_were_told_are_no_rush() {
+    let mut stand = Stand::new(settings(), 1);
+    let told = |standing: f64| Report { free: Some(300.0 - standing), size: Some(300.0), ..wait(0.0) };
+    stand.report(id_of(0), told(0.0));
+    stand.pass(600 * MS);
+    stand.report(id_of(0), told(180.0));
+    stand.report(id_of(0), Report { allowed: Some(50.0), ..Report::default() });
+    assert_eq!(stand.controller.bound(stand.now, id_of(0)), None, "18 a second keep 180 standing for 10 s");
+}
