--- a/agent/tests/common/mod.rs
+++ b/agent/tests/common/mod.rs
@@ -51,11 +51,8 @@
         Setting { servers, board: None, m3ua: None, snmp: None, settings, sockets: 1024 }
     }
 
-    pub fn start(&self) -> Agent {
-        self.start_at("127.0.0.1:0")
-    }
-
-    pub fn start_at(&self, listen: &str) -> Agent {
+    /// The configuration's file.
+    pub fn file(&self, listen: &str) -> PathBuf {
         let targets: Vec<_> = self.servers.iter().map(|(id, address)| target(*id, *address, "up")).collect();
         let config = json!({
             "name": "n0", "listen": listen, "seed": "8c1f30d27a5be964", "board": self.board,
@@ -63,8 +60,16 @@
             "known": {"rev": 1, "notices": [{"rev": 1, "pool": {"rev": 1, "all": true, "targets": targets}}]},
             "settings": self.settings,
         });
+        file("config.json", &config.to_string())
+    }
+
+    pub fn start(&self) -> Agent {
+        self.start_at("127.0.0.1:0")
+    }
+
+    pub fn start_at(&self, listen: &str) -> Agent {
         let mut command = Command::new(env!("CARGO_BIN_EXE_steprelay"));
-        command.arg("serve").arg("--config").arg(file("config.json", &config.to_string()));
+        command.arg("serve").arg("--config").arg(self.file(listen));
         if let Some(m3ua) = &self.m3ua {
             command.arg("--m3ua").arg(file("m3ua.toml", m3ua));
         }
--- a/agent/tests/platform.rs
+++ b/agent/tests/platform.rs
@@ -267,6 +267,18 @@
     );
 }
 
+#[test]
+fn the_files_that_ship_are_good() {
+    let deploy = concat!(env!("CARGO_MANIFEST_DIR"), "/../deploy");
+    let config = Setting::new(&["127.0.0.1:5070".parse().expect("an address")]).file("127.0.0.1:5071");
+    let mut command = std::process::Command::new(env!("CARGO_BIN_EXE_steprelay"));
+    command.arg("check-config").arg("--config").arg(config);
+    command.args(["--m3ua", &format!("{deploy}/m3ua.toml"), "--snmp", &format!("{deploy}/snmp.toml")]);
+    let output = command.output().expect("it runs");
+    assert!(output.status.success(), "{}", String::from_utf8_lossy(&output.stderr));
+    insta::assert_snapshot!(String::from_utf8_lossy(&output.stdout));
+}
+
 #[test]
 fn a_refused_call_is_told_at_once_when_to_come_back() {
     let agent = Setting::new(&[]).start();
