--- a/agent/src/core/route.rs
+++ b/agent/src/core/route.rs
@@ -7,6 +7,10 @@
 
 use super::Source;
 
+/// Servers that are gone are shown until there are so many in all. Guards a process that runs for months at a
+/// site that replaces its servers daily.
+const MOST_SHOWN: usize = 1024;
+
 pub struct Route {
     controller: Controller,
     entries: BTreeMap<ServerId, (Source, Entry)>,
@@ -47,6 +51,9 @@
         kind: ListKind,
         entries: &[Entry],
     ) -> (Vec<Entry>, Vec<(ServerId, Micros)>) {
+        if self.entries.len() >= MOST_SHOWN {
+            self.entries.retain(|_, (_, entry)| entry.state != Readiness::Gone);
+        }
         let mut changes = entries.to_vec();
         if matches!(kind, ListKind::All | ListKind::Remembered) {
             // A whole list names all there are in its place: the others are gone, and told as such.
--- a/agent/src/core/tests.rs
+++ b/agent/src/core/tests.rs
@@ -228,6 +228,17 @@
     assert_eq!(stand.list(&[(ONE, Readiness::Gone)]), cut);
 }
 
+#[test]
+fn servers_that_are_gone_are_forgotten_when_they_are_many() {
+    let mut stand = Stand::new();
+    for id in 10..5_000 {
+        stand.list(&[(ServerId(id), Readiness::Ready)]);
+        stand.list(&[(ServerId(id), Readiness::Gone)]);
+    }
+    assert!(stand.core.servers(stand.now).count() <= 1024 + 1);
+    assert_eq!(set_up_at(&stand.offer(1, 3_000 * MS)), Some(ONE), "the others are still there");
+}
+
 #[test]
 fn a_flood_is_refused_and_room_comes_back() {
     let mut stand = Stand::new();
