Reread the configuration on SIGHUP, and pass releases on until a caller confirms one

Checked with a trace of both sides: each lost release left for the connection heard from last, which had only made a test and stayed; its callers were connected all the while (core/relay.rs, taker). Ruled out: releases that servers did not send, and full outboxes. Now the caller's own connection comes first, then the latest that called; a release that is not confirmed with 'ended' within 300 ms, or whose connection closed, goes on to the next. SIGHUP reads the file again, dials a new board at once from the last number, and keeps what it has if the file is bad.

--- a/agent/src/board/mod.rs
+++ b/agent/src/board/mod.rs
@@ -9,27 +9,36 @@
 
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
-use tokio::time::{sleep, timeout, Duration};
+use tokio::sync::watch;
+use tokio::time::{sleep, timeout, timeout_at, Duration, Instant};
 
 use crate::core::Source;
 use crate::net::ports::Input;
 use crate::net::Shared;
 use frames::Frames;
 
-/// An empty frame comes each second; without any for this long the connection is taken for dead.
+/// A frame comes each second at least; without a whole one for this long the connection is taken for dead.
 const SILENCE: Duration = Duration::from_millis(2500);
 const DIAL: Duration = Duration::from_millis(1000);
 const PAUSE: Duration = Duration::from_millis(200);
 
-/// Follows the board for good, each time from the last event that was read.
-pub async fn follow(address: SocketAddr, last: u64, shared: Shared) {
+/// Follows the board for good, wherever it is at present, each time from the last event that was read.
+pub async fn follow(mut place: watch::Receiver<Option<SocketAddr>>, last: u64, shared: Shared) {
     let mut last = last;
-    loop {
-        let _ = listen(address, &mut last, &shared).await;
-        if shared.inputs.is_closed() {
-            return;
+    while !shared.inputs.is_closed() {
+        let address = *place.borrow_and_update();
+        let listening = async {
+            if let Some(address) = address {
+                let _ = listen(address, &mut last, &shared).await;
+                sleep(PAUSE).await;
+            } else {
+                std::future::pending::<()>().await;
+            }
+        };
+        tokio::select! {
+            () = listening => {}
+            moved = place.changed() => if moved.is_err() { return },
         }
-        sleep(PAUSE).await;
     }
 }
 
@@ -38,19 +47,23 @@
     stream.write_all(&last.to_be_bytes()).await?;
     let mut frames = Frames::default();
     let mut bytes = [0; 4096];
+    // Parts of a frame are no sign of life: a board that stops in the middle of one has stopped.
+    let mut alive = Instant::now();
     loop {
-        let read = timeout(SILENCE, stream.read(&mut bytes)).await??;
+        let read = timeout_at(alive + SILENCE, stream.read(&mut bytes)).await??;
         if read == 0 {
             return Ok(());
         }
         frames.push(&bytes[..read]);
         while let Some(frame) = frames.next()? {
-            let Some((kind, servers)) = frame.list else { continue };
-            *last = frame.number;
+            alive = Instant::now();
+            // What was written twice is applied once: in between, something newer may have been told.
+            let Some((kind, servers)) = frame.list.filter(|_| frame.number > *last) else { continue };
             let input = Input::Listed { source: Source::Board, kind, servers };
             if shared.inputs.send(input).await.is_err() {
                 return Ok(());
             }
+            *last = frame.number;
         }
     }
 }
--- a/agent/src/cli.rs
+++ b/agent/src/cli.rs
@@ -94,11 +94,11 @@
 impl Serve {
     fn run(self) -> Result<(), Error> {
         let config = Config::load(self.config.as_deref())?;
-        let m3ua = self.m3ua.map(|path| M3uaConfig::load(&path, &config.site)).transpose()?;
+        let m3ua = self.m3ua.as_deref().map(|path| M3uaConfig::load(path, &config.site)).transpose()?;
         let snmp = self.snmp.as_deref().map(read_toml).transpose()?;
         let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
         let local = tokio::task::LocalSet::new();
-        Ok(local.block_on(&runtime, net::serve(config, m3ua, snmp))?)
+        Ok(local.block_on(&runtime, net::serve(config, self.config, m3ua, snmp))?)
     }
 }
 
--- a/agent/src/core/mod.rs
+++ b/agent/src/core/mod.rs
@@ -8,6 +8,7 @@
 mod book;
 mod bound;
 mod cause;
+mod clients;
 mod relay;
 mod route;
 mod send;
@@ -27,14 +28,12 @@
 pub use book::{Breach, Counts, ServerCounts};
 pub use bound::BoundCall;
 pub use cause::ReleaseCause;
+pub use clients::ClientId;
+use clients::Clients;
 use relay::Relay;
 use route::Route;
 use send::Pending;
 
-/// Whoever calls are taken from and answered to: a caller's connection, or a peer of the M3UA front.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
-pub struct ClientId(pub u64);
-
 /// A list of servers is kept for each place that names them, so that a whole list replaces only its own.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Source {
@@ -114,14 +113,15 @@
     Stop(CallId, u32),
     /// The end of the call's time, whatever is out.
     Deadline(CallId),
-    /// Releases that no client could take are looked at again.
-    Held,
+    /// A release that is not confirmed is looked at again.
+    Owed(CallId),
 }
 
 pub struct Core {
     site: Site,
     admission: Admission,
     route: Route,
+    clients: Clients,
     pending: BTreeMap<CallId, Pending>,
     relay: Relay,
     book: Book,
@@ -137,6 +137,7 @@
             admission: Admission::new(&site),
             route,
             site,
+            clients: Clients::default(),
             pending: BTreeMap::new(),
             relay: Relay::default(),
             book: Book::default(),
@@ -183,7 +184,7 @@
                 Wake::Resume(call) => self.decide(now, Event::Timer(Timer::Call(call))),
                 Wake::Stop(call, attempt) => self.attempt_timed_out(now, call, attempt),
                 Wake::Deadline(call) => self.deadline_passed(now, call),
-                Wake::Held => self.relay_held(now),
+                Wake::Owed(call) => self.release_due(now, call),
             }
         }
     }
--- a/agent/src/core/relay.rs
+++ b/agent/src/core/relay.rs
@@ -1,10 +1,10 @@
 //! Fifth stage: answers, refusals and releases on their way back, and what stands.
 //!
 //! A call that stands belongs to no connection. Its end may come from anywhere, also for a call that stood
-//! before this process started, and is passed on by any connection that can take it.
+//! before this process started, and is passed on by any connection that can take it, until one confirms it.
 
 use std::cmp::Reverse;
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
 
 use steprelay_decisions::{CallId, Cause, End, Event, Micros, Outcome, Report, ServerId};
@@ -13,10 +13,15 @@
 use super::send::Attempt;
 use super::{BoundCall, ClientId, Core, Effect, ReleaseCause, Verdict, Wake};
 
-/// A release that no client could take is worth keeping this long.
-const HOLD_RELEASES: Micros = 10_000_000;
+/// A release is worth passing on this long.
+const HOLD_RELEASES: Micros = 8_000_000;
 /// More of them than this are not kept.
-const MOST_HELD: usize = 20_000;
+const MOST_OWED: usize = 20_000;
+/// A caller confirms a release within this, or else another connection takes it: the first may have gone, or
+/// belong to somebody who does not listen. A connection with nothing but tests takes it only after this time.
+const CONFIRMED_WITHIN: Micros = 300_000;
+/// So many connections are given one release.
+const MOST_GIVEN: usize = 4;
 
 #[derive(Clone, Copy, Debug)]
 pub struct Standing {
@@ -25,26 +30,25 @@
     since: Micros,
 }
 
-#[derive(Clone, Copy, Debug)]
-struct Client {
-    /// It takes releases of calls that came on other such connections.
-    shared: bool,
-    heard: Micros,
-}
-
-#[derive(Clone, Copy, Debug)]
-struct Held {
+/// A release that no caller has confirmed.
+#[derive(Clone, Debug)]
+struct Owed {
+    /// Who made the call, where that is known.
     client: Option<ClientId>,
-    call: CallId,
     cause: ReleaseCause,
-    until: Micros,
+    since: Micros,
+    /// The connections that were given it, the last one last.
+    given: Vec<ClientId>,
+    /// When it is given to another one.
+    again: Micros,
 }
 
 #[derive(Default)]
 pub struct Relay {
     standing: BTreeMap<CallId, Standing>,
-    clients: BTreeMap<ClientId, Client>,
-    held: VecDeque<Held>,
+    owed: BTreeMap<CallId, Owed>,
+    /// Those of them that no connection could be given yet.
+    untaken: BTreeSet<CallId>,
 }
 
 impl Relay {
@@ -55,52 +59,38 @@
     pub fn stands(&self, call: CallId) -> Option<&Standing> {
         self.standing.get(&call)
     }
-
-    pub fn heard_from(&mut self, client: ClientId, now: Micros) {
-        if let Some(client) = self.clients.get_mut(&client) {
-            client.heard = now;
-        }
-    }
-
-    /// Who can pass on a release: a peer that owns the call, else the connection that was heard from last,
-    /// since one that has long been silent may be about to close.
-    fn taker(&self, client: Option<ClientId>) -> Option<ClientId> {
-        if let Some(own) = client.filter(|&own| is_bound(own)) {
-            return self.clients.contains_key(&own).then_some(own);
-        }
-        let shared = self.clients.iter().filter(|(_, client)| client.shared);
-        shared.max_by_key(|(_, client)| client.heard).map(|(id, _)| *id)
-    }
-}
-
-/// Whether calls of this client can be released through it only.
-fn is_bound(client: ClientId) -> bool {
-    client.0 & ClientId::BOUND != 0
-}
-
-impl ClientId {
-    /// Marks the ids of clients whose calls are bound to circuits of theirs.
-    pub const BOUND: u64 = 1 << 63;
 }
 
 impl Core {
     pub fn client_opened(&mut self, now: Micros, client: ClientId) {
-        self.relay.clients.insert(client, Client { shared: !is_bound(client), heard: now });
-        self.relay_held(now);
+        self.clients.opened(client, now);
+        self.pass_on_untaken(now);
     }
 
     /// A client's connection is gone: no answer can reach what waits on it, but what stands goes on.
     pub fn client_closed(&mut self, now: Micros, client: ClientId) {
-        self.relay.clients.remove(&client);
+        self.clients.closed(client);
         let waiting = self.pending.iter().filter(|(_, pending)| pending.client == client);
         for call in waiting.map(|(call, _)| *call).collect::<Vec<_>>() {
             self.abandon(now, call, Over::Unheard);
         }
+        // What it was given may never have arrived.
+        let owed = self.relay.owed.iter().filter(|(_, owed)| owed.given.last() == Some(&client));
+        for call in owed.map(|(call, _)| *call).collect::<Vec<_>>() {
+            self.pass_on(now, call);
+        }
+    }
+
+    /// A client confirms that it has heard a release.
+    pub fn release_heard(&mut self, client: ClientId, call: CallId) {
+        if self.relay.owed.get(&call).is_some_and(|owed| owed.given.contains(&client)) {
+            self.relay.owed.remove(&call);
+        }
     }
 
     /// A client gives a set-up up or releases a call that stands.
     pub fn client_ended(&mut self, now: Micros, client: ClientId, call: CallId, cause: ReleaseCause) {
-        self.relay.heard_from(client, now);
+        self.clients.heard(client, now);
         if self.pending.contains_key(&call) {
             return self.abandon(now, call, Over::Answered);
         }
@@ -199,27 +189,52 @@
     }
 
     fn release_to(&mut self, now: Micros, client: Option<ClientId>, call: CallId, cause: ReleaseCause) {
-        match self.relay.taker(client) {
-            Some(client) => self.effects.push(Effect::Released { client, call, cause }),
-            None if self.relay.held.len() < MOST_HELD => {
-                let until = now + HOLD_RELEASES;
-                self.relay.held.push_back(Held { client, call, cause, until });
-                self.wakes.push(Reverse((until, Wake::Held)));
-            }
-            None => self.book.counts.releases_lost += 1,
+        if self.relay.owed.len() >= MOST_OWED {
+            self.book.counts.releases_lost += 1;
+            return;
         }
+        self.relay.owed.insert(call, Owed { client, cause, since: now, given: Vec::new(), again: now });
+        self.relay.untaken.insert(call);
+        self.release_due(now, call);
     }
 
-    /// Passes on the releases that waited for a client, and drops those that nobody waits for any more.
-    pub(super) fn relay_held(&mut self, now: Micros) {
-        for held in std::mem::take(&mut self.relay.held) {
-            match self.relay.taker(held.client) {
-                Some(client) => {
-                    self.effects.push(Effect::Released { client, call: held.call, cause: held.cause })
+    /// Looks after a release until it is confirmed, or nobody waits for it any more.
+    pub(super) fn release_due(&mut self, now: Micros, call: CallId) {
+        let Some(owed) = self.relay.owed.get(&call) else { return };
+        if owed.again <= now {
+            if now >= owed.since + HOLD_RELEASES || owed.given.len() >= MOST_GIVEN {
+                self.relay.owed.remove(&call);
+                if self.relay.untaken.remove(&call) {
+                    self.book.counts.releases_lost += 1;
                 }
-                None if held.until <= now => self.book.counts.releases_lost += 1,
-                None => self.relay.held.push_back(held),
+                return;
             }
+            self.pass_on(now, call);
+        }
+        if let Some(owed) = self.relay.owed.get(&call) {
+            self.wakes.push(Reverse((owed.again.max(now + 1), Wake::Owed(call))));
+        }
+    }
+
+    /// Gives a release to the next connection that can take it.
+    fn pass_on(&mut self, now: Micros, call: CallId) {
+        let Some(owed) = self.relay.owed.get_mut(&call) else { return };
+        let untested = now >= owed.since + CONFIRMED_WITHIN;
+        owed.again = now + CONFIRMED_WITHIN;
+        let Some(client) = self.clients.taker(owed.client, &owed.given, untested) else { return };
+        self.effects.push(Effect::Released { client, call, cause: owed.cause });
+        owed.given.push(client);
+        self.relay.untaken.remove(&call);
+        if client.is_bound() {
+            // Its front sees to it that the release is confirmed.
+            self.relay.owed.remove(&call);
+        }
+    }
+
+    /// Passes on the releases that wait for a connection.
+    pub(super) fn pass_on_untaken(&mut self, now: Micros) {
+        for call in self.relay.untaken.iter().copied().collect::<Vec<_>>() {
+            self.pass_on(now, call);
         }
     }
 
--- a/agent/src/core/send.rs
+++ b/agent/src/core/send.rs
@@ -50,7 +50,7 @@
 impl Core {
     /// A client's set-up.
     pub fn offer(&mut self, now: Micros, client: ClientId, request: Request) {
-        self.relay.heard_from(client, now);
+        self.clients.heard(client, now);
         self.book.counts.offered += 1;
         let unfit = match self.take_in(now, &request) {
             Ok(call) if self.admission.admit(&request) => {
@@ -66,6 +66,8 @@
                 };
                 self.wakes.push(Reverse((pending.answer_by, Wake::Deadline(call.id))));
                 self.pending.insert(call.id, pending);
+                self.clients.called(client, now);
+                self.pass_on_untaken(now);
                 return self.decide(now, Event::Call(call));
             }
             Ok(_) => Verdict::Refused { wait: None },
--- a/agent/src/front/platform/clients.rs
+++ b/agent/src/front/platform/clients.rs
@@ -83,6 +83,7 @@
             None => Taken::Reply(ToClient::Final { call, verdict: Verdict::Invalid }),
         },
         "end" => Taken::Input(Input::ClientEnded { client, call, cause: message.cause() }),
+        "ended" => Taken::Input(Input::ReleaseHeard { client, call }),
         "test" => Taken::Reply(ToClient::Passed(call)),
         _ => Taken::Nothing,
     })
--- a/agent/src/net/mod.rs
+++ b/agent/src/net/mod.rs
@@ -13,14 +13,16 @@
 use std::cell::Cell;
 use std::future::Future;
 use std::io;
+use std::net::SocketAddr;
+use std::path::PathBuf;
 use std::rc::Rc;
 use std::sync::Arc;
 
 use steprelay_decisions::CallId;
 use steprelay_settings::Site;
 use tokio::net::{TcpListener, TcpStream, UdpSocket};
-use tokio::signal::unix::{signal, SignalKind};
-use tokio::sync::{mpsc, Semaphore};
+use tokio::signal::unix::{signal, Signal, SignalKind};
+use tokio::sync::{mpsc, watch, Semaphore};
 use tokio::task::spawn_local;
 use tokio::time::{sleep, Duration};
 
@@ -63,7 +65,13 @@
 }
 
 /// Serves until it is told to stop and all that was taken in is answered.
-pub async fn serve(config: Config, m3ua: Option<M3uaConfig>, snmp: Option<SnmpConfig>) -> io::Result<()> {
+/// `file` is the configuration's, to be read again on SIGHUP.
+pub async fn serve(
+    config: Config,
+    file: Option<PathBuf>,
+    m3ua: Option<M3uaConfig>,
+    snmp: Option<SnmpConfig>,
+) -> io::Result<()> {
     let clock = Clock::start();
     let (inputs, queue) = mpsc::channel(INPUTS);
     let site = Rc::new(config.site);
@@ -77,14 +85,15 @@
             let _ = stop.send(Input::Stop).await;
         }
     });
+    let hangup = signal(SignalKind::hangup())?;
     let listener = TcpListener::bind(config.listen).await?;
     eprintln!("steprelay: serving on {}", listener.local_addr()?);
     let core = Core::new((*site).clone(), config.seed, clock.now());
     let mut owner = Owner::new(core, shared.clone(), m3ua.clone());
     owner.listed(config.known.source, config.known.kind, config.known.servers);
-    if let Some(address) = config.board {
-        spawn_local(board::follow(address, config.known.last, shared.clone()));
-    }
+    let (board, followed) = watch::channel(config.board);
+    spawn_local(board::follow(followed, config.known.last, shared.clone()));
+    spawn_local(reread(hangup, file, board));
     if let Some(m3ua) = m3ua {
         let listener = TcpListener::bind(m3ua.config.listen).await?;
         eprintln!("steprelay: serving M3UA on {}", listener.local_addr()?);
@@ -104,6 +113,23 @@
     Ok(())
 }
 
+/// Reads the configuration again each time SIGHUP comes. The notice board may move while calls go on; what
+/// else differs is for the next start.
+async fn reread(mut hangup: Signal, file: Option<PathBuf>, board: watch::Sender<Option<SocketAddr>>) {
+    while hangup.recv().await.is_some() {
+        match Config::load(file.as_deref()) {
+            Ok(config) => {
+                let named = config.board.map_or_else(|| "none".to_string(), |address| address.to_string());
+                eprintln!("steprelay: configuration read again, the notice board is {named}");
+                board.send_if_modified(|board| std::mem::replace(board, config.board) != config.board);
+            }
+            Err(error) => {
+                eprintln!("steprelay: configuration not taken, the one before stays: {error}");
+            }
+        }
+    }
+}
+
 /// Takes connections, as many at once as the descriptors allow. The others wait in the machine's queue.
 async fn accept<S, F>(listener: TcpListener, most: usize, serve: S)
 where
--- a/agent/src/net/owner.rs
+++ b/agent/src/net/owner.rs
@@ -106,6 +106,7 @@
             }
             Input::Offer { client, request } => self.core.offer(now, client, request),
             Input::ClientEnded { client, call, cause } => self.core.client_ended(now, client, call, cause),
+            Input::ReleaseHeard { client, call } => self.core.release_heard(client, call),
             Input::LinkUp { link, outbox } if self.links.is_current(link) => self.links.up(link, outbox),
             Input::LinkLost { link, loss } if self.links.is_current(link) => {
                 self.links.lost(link, loss, now);
--- a/agent/src/net/ports.rs
+++ b/agent/src/net/ports.rs
@@ -97,6 +97,11 @@
         call: CallId,
         cause: ReleaseCause,
     },
+    /// A client confirms a release.
+    ReleaseHeard {
+        client: ClientId,
+        call: CallId,
+    },
     LinkUp {
         link: LinkId,
         outbox: Outbox<ToServer>,
--- a/agent/tests/platform.rs
+++ b/agent/tests/platform.rs
@@ -130,6 +130,66 @@
     server.expect("end", 3);
 }
 
+#[test]
+fn a_release_goes_on_to_another_caller_until_one_confirms_it() {
+    let server = Server::new();
+    let agent = Setting::new(&[server.address]).start();
+    let (mut caller, mut other, mut server) = (agent.caller(), agent.caller(), server.accept());
+    for (caller, call) in [(&mut caller, 1), (&mut other, 2)] {
+        caller.offer(call, 3000, 0);
+        server.expect("offer", call);
+        server.say(accept(call));
+        caller.expect("accept", call);
+    }
+    // The latest connection has only made a test, and does not listen to what others called for.
+    let mut test = agent.caller();
+    test.settle();
+    server.say(end(1, 16));
+    caller.expect("end", 1);
+    other.expect("end", 1);
+    other.say(json!({"op": "ended", "call": hex(1), "with": {}}));
+    server.say(end(2, 16));
+    other.expect("end", 2);
+    other.say(json!({"op": "ended", "call": hex(2), "with": {}}));
+    other.settle();
+    test.settle();
+}
+
+#[test]
+fn the_configuration_is_read_again_on_sighup_and_the_board_moves() {
+    let (one, two, three) = (Server::new(), Server::new(), Server::new());
+    let boards = [(); 2].map(|()| TcpListener::bind("127.0.0.1:0").expect("a port"));
+    let places = [0, 1].map(|board: usize| Some(boards[board].local_addr().expect("bound")));
+    let mut setting = Setting::new(&[one.address]);
+    setting.board = places[0];
+    let mut agent = setting.start();
+    let (mut first, _) = boards[0].accept().expect("a connection");
+    bytes(&mut first, 8);
+    first.write_all(&frame(2, 2, &[record(2, two.address, 0)])).expect("read");
+    let mut at_two = two.accept();
+    std::fs::write(&agent.config, "{").expect("written");
+    agent.signal("HUP");
+    agent.logged("configuration not taken, the one before stays: ");
+    setting.board = places[1];
+    std::fs::copy(setting.file("127.0.0.1:0"), &agent.config).expect("copied");
+    agent.signal("HUP");
+    let (mut second, _) = boards[1].accept().expect("a connection to where it is now");
+    assert_eq!(bytes(&mut second, 8), 2u64.to_be_bytes(), "the numbers go on");
+    // What is told again changes nothing, what is new does.
+    let again = frame(2, 2, &[record(1, one.address, 1), record(2, two.address, 2)]);
+    let drained = frame(3, 2, &[record(1, one.address, 1), record(3, three.address, 0)]);
+    second.write_all(&[again, drained].concat()).expect("read");
+    let (mut at_one, mut at_three) = (one.accept(), three.accept());
+    let mut caller = agent.caller();
+    caller.offer(2, 3000, 1);
+    at_two.expect("offer", 2);
+    caller.offer(3, 3000, 2);
+    at_three.expect("offer", 3);
+    // A drained server still tells of what stands there.
+    at_one.say(end(9, 16));
+    caller.expect("end", 9);
+}
+
 #[test]
 fn a_reset_cuts_nothing_that_stands_and_the_release_comes_on_the_next_connection() {
     let server = Server::new();
