--- a/agent/src/core/book.rs
+++ b/agent/src/core/book.rs
@@ -90,6 +90,11 @@
         self.servers.get(&server).copied().unwrap_or_default()
     }
 
+    /// Forgets the figures of all other servers.
+    pub fn keep_servers(&mut self, shown: impl Fn(ServerId) -> bool) {
+        self.servers.retain(|server, _| shown(*server));
+    }
+
     pub fn over(&self, call: CallId) -> Option<Over> {
         self.over.get(&call).or_else(|| self.over_before.get(&call)).copied()
     }
--- a/agent/src/core/mod.rs
+++ b/agent/src/core/mod.rs
@@ -242,6 +242,7 @@
         for (server, before) in over {
             self.server_dead(now, server, before);
         }
+        self.book.keep_servers(|server| self.route.is_shown(server));
     }
 
     pub fn report(&mut self, now: Micros, server: ServerId, report: Report) {
--- a/agent/src/core/route.rs
+++ b/agent/src/core/route.rs
@@ -7,9 +7,9 @@
 
 use super::Source;
 
-/// Servers that are gone are shown until there are so many in all. Guards a process that runs for months at a
-/// site that replaces its servers daily.
-const MOST_SHOWN: usize = 1024;
+/// Servers that are gone are shown until there are so many. Guards a process that runs for months at a site that
+/// replaces its servers all the time.
+const MOST_GONE: usize = 16;
 
 pub struct Route {
     controller: Controller,
@@ -35,6 +35,10 @@
         self.entries.values().map(|(_, entry)| entry)
     }
 
+    pub fn is_shown(&self, server: ServerId) -> bool {
+        self.entries.contains_key(&server)
+    }
+
     pub fn ready(&self, server: ServerId) -> bool {
         self.entries.get(&server).is_some_and(|(_, entry)| entry.state == Readiness::Ready)
     }
@@ -51,8 +55,9 @@
         kind: ListKind,
         entries: &[Entry],
     ) -> (Vec<Entry>, Vec<(ServerId, Micros)>) {
-        if self.entries.len() >= MOST_SHOWN {
-            self.entries.retain(|_, (_, entry)| entry.state != Readiness::Gone);
+        let gone = |entry: &Entry| entry.state == Readiness::Gone;
+        if self.entries.values().filter(|(_, entry)| gone(entry)).count() >= MOST_GONE {
+            self.entries.retain(|_, (_, entry)| !gone(entry));
         }
         let mut changes = entries.to_vec();
         if matches!(kind, ListKind::All | ListKind::Remembered) {
--- a/agent/src/core/tests.rs
+++ b/agent/src/core/tests.rs
@@ -365,7 +365,7 @@
         stand.list(&[(ServerId(id), Readiness::Ready)]);
         stand.list(&[(ServerId(id), Readiness::Gone)]);
     }
-    assert!(stand.core.servers(stand.now).count() <= 1024 + 1);
+    assert!(stand.core.servers(stand.now).count() <= 20);
     assert_eq!(set_up_at(&stand.offer(1, 3_000 * MS)), Some(ONE), "the others are still there");
 }
 
--- a/src/controller.rs
+++ b/src/controller.rs
@@ -341,13 +341,14 @@
             actions.push(Action::Watch);
         }
         if matches!(kind, ListKind::All | ListKind::Remembered) {
-            for (id, server) in self.servers.iter_mut() {
-                if !entries.iter().any(|entry| entry.server == *id) {
-                    server.ready = false;
-                }
-            }
+            self.servers.retain(|id, _| entries.iter().any(|entry| entry.server == *id));
         }
         for entry in entries {
+            // Where servers are replaced all the time, nothing may be kept of those that were.
+            if entry.state == Readiness::Gone {
+                self.servers.remove(&entry.server);
+                continue;
+            }
             let phase = self.random.figure();
             let server = self.servers.entry(entry.server).or_default();
             if server.started != entry.started {
--- a/tests/gapping.rs
+++ b/tests/gapping.rs
@@ -188,3 +188,18 @@
     stand.report(id_of(0), Report { allowed: Some(50.0), ..Report::default() });
     assert_eq!(stand.controller.bound(stand.now, id_of(0)), None, "18 a second keep 180 standing for 10 s");
 }
+
+#[test]
+fn nothing_is_kept_of_a_server_that_is_gone() {
+    let mut stand = Stand::new(settings(), 2);
+    stand.load(0, 10, 100 * MS, 10 * MS);
+    for (state, kind) in [(Readiness::Gone, ListKind::Changes), (Readiness::Ready, ListKind::All)] {
+        stand.report(id_of(0), wait(900.0));
+        assert!(stand.controller.bound(stand.now, id_of(0)).is_some());
+        // Gone by name, or left out of a whole list.
+        let entries = [entry(u32::from(state == Readiness::Ready), state)];
+        stand.event(Event::List { kind, entries: &entries });
+        stand.event(Event::List { kind: ListKind::Changes, entries: &[entry(0, Readiness::Ready)] });
+        assert!(stand.controller.bound(stand.now, id_of(0)).is_none(), "{state:?}");
+    }
+}
