Relieve a server connection that has gone silent by a second one

Checked with a trace: from 9.35 s on nothing came on the open connection to one server, from 13.45 s on that to the other, while set-ups went on (net/links.rs noticed only ends). Other call agents were served meanwhile. Now a connection that owes a word for three times the longest pause it lately made (0.25 to 2 s) is relieved by a second one, both are tested, and the first is closed when the second has answered and it has not; a slow server answers on both. Connections on which calls stand are tested after 1 s without a word. M3UA peers get a heartbeat.

--- a/agent/src/core/relay.rs
+++ b/agent/src/core/relay.rs
@@ -188,6 +188,11 @@
         }
     }
 
+    /// Whether any call stands at a server.
+    pub fn stands_at(&self, server: ServerId) -> bool {
+        self.relay.standing.values().any(|standing| standing.attempt.server == server)
+    }
+
     /// A server's process is over, and with it what came to stand there before this time.
     pub(super) fn server_dead(&mut self, now: Micros, server: ServerId, before: Micros) {
         let cut = self
--- a/agent/src/core/send.rs
+++ b/agent/src/core/send.rs
@@ -213,6 +213,14 @@
         }
     }
 
+    /// A set-up went with its connection, and may have run.
+    pub fn attempt_lost(&mut self, now: Micros, server: ServerId, call: CallId) {
+        let out = self.pending.get(&call).and_then(|pending| pending.out);
+        if let Some(attempt) = out.filter(|attempt| attempt.server == server) {
+            self.end_attempt(now, attempt.ended(now, call, Outcome::Reset));
+        }
+    }
+
     /// One set-up could not be put on its way to a server.
     pub fn not_sent(&mut self, now: Micros, server: ServerId, call: CallId) {
         let out = self.pending.get(&call).and_then(|pending| pending.out);
--- a/agent/src/front/m3ua/servers.rs
+++ b/agent/src/front/m3ua/servers.rs
@@ -202,7 +202,7 @@
                 }
                 Ok(())
             }
-            Call::Progress { .. } => Ok(()),
+            Call::Progress { .. } => self.input(Input::Progress { link }).await,
             // A server takes calls and makes none.
             Call::SetUp { .. } => self.line.error(Fault::Unexpected, bytes).await,
         }
--- a/agent/src/front/platform/servers.rs
+++ b/agent/src/front/platform/servers.rs
@@ -80,10 +80,9 @@
     let mut incoming = Incoming::new(stream, &shared.pool, message::split, WHOLE_WITHIN);
     while let Some(line) = incoming.next().await? {
         let input = Message::read(line).and_then(|message| heard(&message, link, own));
-        if let Some(input) = input.map_err(|_| io::ErrorKind::InvalidData)? {
-            if shared.inputs.send(input).await.is_err() {
-                return Ok(());
-            }
+        let input = input.map_err(|_| io::ErrorKind::InvalidData)?;
+        if shared.inputs.send(input).await.is_err() {
+            return Ok(());
         }
     }
     Ok(())
@@ -91,25 +90,25 @@
 
 /// What a server says. Where it can't be one of its messages, whatever follows on the connection can't be
 /// trusted either, and what was to come may never come.
-fn heard(message: &Message, link: LinkId, own: &Outbox<ToServer>) -> Result<Option<Input>, Unreadable> {
+fn heard(message: &Message, link: LinkId, own: &Outbox<ToServer>) -> Result<Input, Unreadable> {
     let report = message.report();
     if message.op == "group" {
-        return Ok(Some(Input::Reported { link, report }));
+        return Ok(Input::Reported { link, report });
     }
     let call = message.named_call()?;
     Ok(match message.op.as_ref() {
         "accept" => {
             let description = message.description.as_deref().filter(|text| is_sound(text));
             let description = Rc::from(description.ok_or(Unreadable::Spoilt)?);
-            Some(Input::Answered { link, call, description })
+            Input::Answered { link, call, description }
         }
         "end" if message.why.is_some() => {
             // Says that it was heard, so that it need not come again on the next connection.
             own.post(ToServer::Heard(call));
-            Some(Input::Ended { link, call, cause: message.cause(), note: message.noted(), report })
+            Input::Ended { link, call, cause: message.cause(), note: message.noted(), report }
         }
-        "tested" => Some(Input::Tested { link, call, passed: message.why == Some(1), report }),
-        "ringing" | "ended" => None,
+        "tested" => Input::Tested { link, call, passed: message.why == Some(1), report },
+        "ringing" | "ended" => Input::Progress { link },
         _ => return Err(Unreadable::NotAServers),
     })
 }
--- a/agent/src/net/links.rs
+++ b/agent/src/net/links.rs
@@ -1,6 +1,9 @@
 //! The connections to servers: one each, dialled as soon as the server is listed and again when it is lost.
+//!
+//! A connection can go silent without an end. Where one has owed a word for too long, a second is dialled and
+//! takes over what is new; the first is closed once the second has brought an answer and it has not.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use steprelay_decisions::{CallId, Micros, ServerId};
 
@@ -13,24 +16,129 @@
 /// What stood at a server that cannot be reached has ended after this long, seen from its caller: the limit
 /// for its release is 8 s.
 const OUT_OF_REACH: Micros = 6_500_000;
+/// A connection that owes a word is taken for silent after so many times the longest pause it lately made,
+/// within these bounds: a server that is short of processor answers late on a connection that is well.
+const PAUSES: Micros = 3;
+const SOON: Micros = 250_000;
+const LATE: Micros = 2_000_000;
+/// The longest pause that is remembered falls by one part in so many of the time that passes.
+const FORGETS: Micros = 10;
+/// A connection on which calls stand is tested after this long without a word: their releases come on it.
+const UNHEARD: Micros = 1_000_000;
+/// What both connections were asked comes this much later on the first, or never.
+const GRACE: Micros = 150_000;
+/// Without an answer on either, the first is closed after this, and no other is dialled before.
+const NO_PROOF: Micros = 3_000_000;
+/// A peer of the M3UA front has one association. It answers a heartbeat within this, or the association ends.
+const BEAT: Micros = 2_000_000;
+
+/// A connection that is open.
+struct Conn {
+    epoch: u64,
+    outbox: Outbox<ToServer>,
+    /// Set-ups that wait on it for an answer.
+    out: BTreeSet<CallId>,
+    heard: Micros,
+    /// Since when it has owed a word, and the longest that lately took.
+    owes: Option<Micros>,
+    longest: Micros,
+}
+
+impl Conn {
+    fn new(epoch: u64, outbox: Outbox<ToServer>, now: Micros) -> Self {
+        Conn { epoch, outbox, out: BTreeSet::new(), heard: now, owes: None, longest: 0 }
+    }
+
+    fn post(&mut self, message: ToServer, now: Micros) -> bool {
+        match &message {
+            ToServer::SetUp(set_up) => {
+                self.out.insert(set_up.call);
+                self.owes.get_or_insert(now);
+            }
+            ToServer::Probe(_) => {
+                self.owes.get_or_insert(now);
+            }
+            ToServer::GiveUp(call) => {
+                self.out.remove(call);
+            }
+            ToServer::Release(..) | ToServer::Heard(_) => {}
+        }
+        self.outbox.post(message)
+    }
+
+    /// Something came on it; returns whether that answers a set-up that waits.
+    fn heard(&mut self, about: Option<CallId>, now: Micros) -> bool {
+        let faded = self.longest - (now - self.heard) / FORGETS;
+        self.longest = faded.max(self.owes.map_or(0, |since| now - since));
+        self.heard = now;
+        let answers = about.is_some_and(|call| self.out.remove(&call));
+        self.owes = (!self.out.is_empty()).then_some(now);
+        answers
+    }
+
+    fn is_silent(&self, now: Micros) -> bool {
+        self.owes.is_some_and(|since| now - since >= (PAUSES * self.longest).clamp(SOON, LATE))
+    }
+
+    fn end(self) -> Vec<CallId> {
+        self.outbox.cut();
+        self.out.into_iter().collect()
+    }
+}
+
+/// The first connection, while what is new goes by a second.
+struct Former {
+    conn: Conn,
+    since: Micros,
+    /// When the second brought an answer.
+    proof: Option<Micros>,
+}
 
 enum State {
     /// Dialled again at this time.
     Down(Micros),
     /// What waits goes out when the connection is up, or is told as never sent when it fails.
-    Dialling(Vec<ToServer>),
-    Up(Outbox<ToServer>),
+    Dialling(u64, Vec<ToServer>),
+    Up(Conn),
 }
 
 struct Link {
     way: Way,
-    epoch: u64,
     state: State,
+    former: Option<Former>,
+    /// A second connection that is being dialled, and when the next may be.
+    relief: Option<u64>,
+    relief_after: Micros,
+    /// When a heartbeat was sent to a silent peer of the M3UA front.
+    beat: Option<Micros>,
     pause: Micros,
     /// Since when it has been without a connection, after it had one.
     lost: Option<Micros>,
 }
 
+impl Link {
+    /// Lets go of all its connections; returns the set-ups that may have run.
+    fn end(&mut self, next: State) -> Vec<CallId> {
+        self.relief = None;
+        self.beat = None;
+        let mut out = self.former.take().map(|former| former.conn.end()).unwrap_or_default();
+        if let State::Up(conn) = std::mem::replace(&mut self.state, next) {
+            out.extend(conn.end());
+        }
+        out
+    }
+}
+
+/// What has to be done about a silent connection.
+pub enum Watch {
+    /// Is tested, by this connection.
+    Test(LinkId),
+    /// A second connection is dialled.
+    Relieve(LinkId, Way),
+    /// These set-ups went with a connection that is closed.
+    Reset(ServerId, Vec<CallId>),
+}
+
 #[derive(Default)]
 pub struct Links {
     links: BTreeMap<ServerId, Link>,
@@ -44,28 +152,38 @@
         if same {
             return false;
         }
-        let had = self.remove(server).is_some();
-        let link = Link { way, epoch: 0, state: State::Down(now), pause: FIRST_PAUSE, lost: None };
+        let had = self.remove(server);
+        let link = Link {
+            way,
+            state: State::Down(now),
+            former: None,
+            relief: None,
+            relief_after: now,
+            beat: None,
+            pause: FIRST_PAUSE,
+            lost: None,
+        };
         self.links.insert(server, link);
         had
     }
 
-    /// Lets go of a server; returns the set-ups that had not left.
-    pub fn remove(&mut self, server: ServerId) -> Option<Vec<CallId>> {
-        let link = self.links.remove(&server)?;
-        match link.state {
-            State::Up(outbox) => {
-                outbox.cut();
-                Some(Vec::new())
-            }
-            State::Dialling(waiting) => Some(set_ups(waiting)),
-            State::Down(_) => Some(Vec::new()),
-        }
+    /// Lets go of a server; false where there was none.
+    pub fn remove(&mut self, server: ServerId) -> bool {
+        let link = self.links.remove(&server);
+        link.map(|mut link| link.end(State::Down(0))).is_some()
     }
 
-    /// Whether this is the present connection to its server.
+    /// Whether this is a present connection to its server.
     pub fn is_current(&self, id: LinkId) -> bool {
-        self.links.get(&id.server).is_some_and(|link| link.epoch == id.epoch)
+        self.links.get(&id.server).is_some_and(|link| {
+            let present = match &link.state {
+                State::Down(_) => None,
+                State::Dialling(epoch, _) => Some(*epoch),
+                State::Up(conn) => Some(conn.epoch),
+            };
+            let former = link.former.as_ref().map(|former| former.conn.epoch);
+            [present, link.relief, former].contains(&Some(id.epoch))
+        })
     }
 
     /// Those to dial now; each counts as dialled with that.
@@ -74,9 +192,8 @@
         for (server, link) in &mut self.links {
             if matches!(link.state, State::Down(at) if at <= now) {
                 self.epochs += 1;
-                link.epoch = self.epochs;
-                link.state = State::Dialling(Vec::new());
-                due.push((LinkId { server: *server, epoch: link.epoch }, link.way));
+                link.state = State::Dialling(self.epochs, Vec::new());
+                due.push((LinkId { server: *server, epoch: self.epochs }, link.way));
             }
         }
         due
@@ -90,32 +207,121 @@
         times.min()
     }
 
-    pub fn up(&mut self, id: LinkId, outbox: Outbox<ToServer>) {
-        let Some(link) = self.links.get_mut(&id.server) else { return };
-        let before = std::mem::replace(&mut link.state, State::Up(outbox));
-        (link.pause, link.lost) = (FIRST_PAUSE, None);
-        if let State::Dialling(waiting) = before {
-            for message in waiting {
-                self.post(id.server, message);
+    /// A connection is there. Where it relieves another, both are to be tested, which tells whether that one
+    /// is dead or its server only slow.
+    pub fn up(&mut self, id: LinkId, outbox: Outbox<ToServer>, now: Micros) -> Vec<LinkId> {
+        let Some(link) = self.links.get_mut(&id.server) else { return Vec::new() };
+        (link.pause, link.lost, link.beat) = (FIRST_PAUSE, None, None);
+        let conn = Conn::new(id.epoch, outbox, now);
+        match std::mem::replace(&mut link.state, State::Up(conn)) {
+            State::Up(conn) => {
+                link.relief = None;
+                let first = LinkId { server: id.server, epoch: conn.epoch };
+                link.former = Some(Former { conn, since: now, proof: None });
+                vec![first, id]
+            }
+            State::Dialling(_, waiting) => {
+                for message in waiting {
+                    self.post(id.server, message, now);
+                }
+                Vec::new()
             }
+            State::Down(_) => Vec::new(),
         }
     }
 
-    pub fn lost(&mut self, id: LinkId, loss: LinkLoss, now: Micros) {
-        let Some(link) = self.links.get_mut(&id.server) else { return };
+    /// A connection has ended, or could not be had; returns the set-ups that may have run.
+    pub fn lost(&mut self, id: LinkId, loss: LinkLoss, now: Micros) -> Vec<CallId> {
+        let Some(link) = self.links.get_mut(&id.server) else { return Vec::new() };
+        if link.former.as_ref().is_some_and(|former| former.conn.epoch == id.epoch) {
+            return link.former.take().map(|former| former.conn.end()).unwrap_or_default();
+        }
+        // A second connection that cannot be had tells that the first is no better.
         let pause = if loss == LinkLoss::Dropped { 0 } else { link.pause };
         link.pause = (2 * link.pause).min(LONGEST_PAUSE);
-        link.state = State::Down(now + pause);
-        if loss == LinkLoss::Dropped {
+        if loss == LinkLoss::Dropped || link.relief == Some(id.epoch) {
             link.lost = Some(now);
         }
+        link.end(State::Down(now + pause))
+    }
+
+    /// Something came on a connection: about a call, or an answer to a test, or neither.
+    pub fn heard(&mut self, id: LinkId, about: Option<CallId>, tested: bool, now: Micros) {
+        let Some(link) = self.links.get_mut(&id.server) else { return };
+        match (&mut link.state, &mut link.former) {
+            (State::Up(conn), former) if conn.epoch == id.epoch => {
+                link.beat = None;
+                if conn.heard(about, now) || tested {
+                    if let Some(former) = former {
+                        former.proof.get_or_insert(now);
+                    }
+                }
+            }
+            (_, Some(former)) if former.conn.epoch == id.epoch => {
+                former.conn.heard(about, now);
+            }
+            _ => {}
+        }
+    }
+
+    /// Looks for connections that are silent. `stand` tells where calls stand.
+    pub fn watch(&mut self, now: Micros, stand: impl Fn(ServerId) -> bool) -> Vec<Watch> {
+        let mut found = Vec::new();
+        for (&server, link) in &mut self.links {
+            if let Some(former) = &link.former {
+                let said = former.conn.heard > former.since;
+                let over = match former.proof {
+                    Some(_) if said => former.conn.out.is_empty(),
+                    Some(at) => now >= at + GRACE,
+                    None => now >= former.since + NO_PROOF,
+                };
+                if over {
+                    let out = link.former.take().map(|former| former.conn.end()).unwrap_or_default();
+                    found.push(Watch::Reset(server, out));
+                }
+                continue;
+            }
+            let State::Up(conn) = &mut link.state else { continue };
+            let this = LinkId { server, epoch: conn.epoch };
+            if !conn.is_silent(now) {
+                if conn.owes.is_none() && now >= conn.heard + UNHEARD && stand(server) {
+                    found.push(Watch::Test(this));
+                }
+                continue;
+            }
+            match (link.way, link.beat) {
+                (Way::Platform(_), _) if link.relief.is_none() && now >= link.relief_after => {
+                    self.epochs += 1;
+                    link.relief = Some(self.epochs);
+                    link.relief_after = now + NO_PROOF;
+                    found.push(Watch::Relieve(LinkId { server, epoch: self.epochs }, link.way));
+                }
+                (Way::Platform(_), _) => {}
+                (Way::M3ua(_), None) => {
+                    link.beat = Some(now);
+                    found.push(Watch::Test(this));
+                }
+                (Way::M3ua(_), Some(at)) if now >= at + BEAT => {
+                    link.lost = Some(now);
+                    found.push(Watch::Reset(server, link.end(State::Down(now))));
+                }
+                (Way::M3ua(_), Some(_)) => {}
+            }
+        }
+        found
     }
 
     /// Puts a message on its way; false when it is sure that it does not leave.
-    pub fn post(&mut self, server: ServerId, message: ToServer) -> bool {
-        match self.links.get_mut(&server).map(|link| &mut link.state) {
-            Some(State::Up(outbox)) => outbox.post(message),
-            Some(State::Dialling(waiting)) => {
+    pub fn post(&mut self, server: ServerId, message: ToServer, now: Micros) -> bool {
+        let Some(link) = self.links.get_mut(&server) else { return false };
+        if let (ToServer::GiveUp(call), Some(former)) = (&message, &mut link.former) {
+            if former.conn.out.contains(call) {
+                return former.conn.post(message, now);
+            }
+        }
+        match &mut link.state {
+            State::Up(conn) => conn.post(message, now),
+            State::Dialling(_, waiting) => {
                 match message {
                     // Neither needs to arrive: the set-up has not left.
                     ToServer::GiveUp(call) => waiting
@@ -124,14 +330,26 @@
                 }
                 true
             }
-            Some(State::Down(_)) | None => false,
+            State::Down(_) => false,
+        }
+    }
+
+    /// Puts a test on one connection.
+    pub fn test(&mut self, id: LinkId, call: CallId, now: Micros) -> bool {
+        let Some(link) = self.links.get_mut(&id.server) else { return false };
+        match (&mut link.state, &mut link.former) {
+            (State::Up(conn), _) if conn.epoch == id.epoch => conn.post(ToServer::Probe(call), now),
+            (_, Some(former)) if former.conn.epoch == id.epoch => {
+                former.conn.post(ToServer::Probe(call), now)
+            }
+            _ => false,
         }
     }
 
     /// Takes back the set-ups that still wait for a connection to a server that takes nothing new.
     pub fn take_waiting(&mut self, server: ServerId) -> Vec<CallId> {
         match self.links.get_mut(&server).map(|link| &mut link.state) {
-            Some(State::Dialling(waiting)) => set_ups(std::mem::take(waiting)),
+            Some(State::Dialling(_, waiting)) => set_ups(std::mem::take(waiting)),
             _ => Vec::new(),
         }
     }
--- a/agent/src/net/owner.rs
+++ b/agent/src/net/owner.rs
@@ -9,8 +9,8 @@
 use tokio::time::{sleep, sleep_until, Duration};
 
 use super::conn::Outbox;
-use super::links::Links;
-use super::ports::{Input, ToClient, ToServer, Way};
+use super::links::{Links, Watch};
+use super::ports::{Input, LinkId, ToClient, ToServer, Way};
 use super::Shared;
 use crate::core::{Breach, ClientId, Core, Effect, LinkLoss, Source};
 use crate::front::m3ua::{self, M3ua};
@@ -111,21 +111,36 @@
                 self.tell(client, ToClient::Passed(call));
             }
             Input::ReleaseHeard { client, call } => self.core.release_heard(now, client, call),
-            Input::LinkUp { link, outbox } if self.links.is_current(link) => self.links.up(link, outbox),
+            Input::LinkUp { link, outbox } if self.links.is_current(link) => {
+                for both in self.links.up(link, outbox, now) {
+                    self.test(both);
+                }
+            }
             Input::LinkLost { link, loss } if self.links.is_current(link) => {
-                self.links.lost(link, loss, now);
-                self.core.link_lost(now, link.server, loss);
+                for call in self.links.lost(link, loss, now) {
+                    self.core.attempt_lost(now, link.server, call);
+                }
+                if loss != LinkLoss::Dropped {
+                    self.core.link_lost(now, link.server, loss);
+                }
+            }
+            Input::Progress { link } if self.links.is_current(link) => {
+                self.links.heard(link, None, false, now);
             }
             Input::Answered { link, call, description } if self.links.is_current(link) => {
+                self.links.heard(link, Some(call), false, now);
                 self.core.server_answered(now, link.server, call, description)
             }
             Input::Ended { link, call, cause, note, report } if self.links.is_current(link) => {
+                self.links.heard(link, Some(call), false, now);
                 self.core.server_ended(now, link.server, call, cause, note, report)
             }
             Input::Reported { link, report } if self.links.is_current(link) => {
+                self.links.heard(link, None, false, now);
                 self.core.report(now, link.server, report)
             }
             Input::Tested { link, call, passed, report } if self.links.is_current(link) => {
+                self.links.heard(link, None, true, now);
                 if let Some((server, sent)) = self.probes.remove(&call) {
                     self.core.probed(now, server, passed, now - sent, report);
                 }
@@ -133,6 +148,7 @@
             // Words of a connection that was already let go.
             Input::LinkUp { outbox, .. } => outbox.cut(),
             Input::LinkLost { .. }
+            | Input::Progress { .. }
             | Input::Answered { .. }
             | Input::Ended { .. }
             | Input::Reported { .. }
@@ -172,7 +188,7 @@
             for call in self.links.take_waiting(server) {
                 self.core.not_sent(now, server, call);
             }
-            if state == Readiness::Gone && self.links.remove(server).is_some() {
+            if state == Readiness::Gone && self.links.remove(server) {
                 self.core.link_lost(now, server, LinkLoss::Dropped);
             }
         }
@@ -181,14 +197,22 @@
     fn keep_links(&mut self) {
         let now = self.shared.clock.now();
         for (link, way) in self.links.due(now) {
-            match way {
-                Way::M3ua(place) => {
-                    if let Some(m3ua) = self.m3ua.clone() {
-                        spawn_local(m3ua::servers::keep(link, place, self.shared.clone(), m3ua));
-                    }
+            self.dial(link, way);
+        }
+        for found in self.links.watch(now, |server| self.core.stands_at(server)) {
+            match found {
+                Watch::Test(link) => self.test(link),
+                Watch::Relieve(link, way) => {
+                    eprintln!(
+                        "steprelay: server {}: its connection is silent, another is dialled",
+                        link.server.0
+                    );
+                    self.dial(link, way);
                 }
-                Way::Platform(address) => {
-                    spawn_local(platform::servers::keep(link, address, self.shared.clone()));
+                Watch::Reset(server, calls) => {
+                    for call in calls {
+                        self.core.attempt_lost(now, server, call);
+                    }
                 }
             }
         }
@@ -197,6 +221,31 @@
         }
     }
 
+    fn dial(&self, link: LinkId, way: Way) {
+        match way {
+            Way::M3ua(place) => {
+                if let Some(m3ua) = self.m3ua.clone() {
+                    spawn_local(m3ua::servers::keep(link, place, self.shared.clone(), m3ua));
+                }
+            }
+            Way::Platform(address) => {
+                spawn_local(platform::servers::keep(link, address, self.shared.clone()));
+            }
+        }
+    }
+
+    /// Tests a connection, where the settings allow it.
+    fn test(&mut self, link: LinkId) {
+        if !self.shared.site.decisions.limits.probes {
+            return;
+        }
+        let (now, call) = (self.shared.clock.now(), self.shared.new_call());
+        self.probes.retain(|_, (_, sent)| now - *sent < 10_000_000);
+        if self.links.test(link, call, now) {
+            self.probes.insert(call, (link.server, now));
+        }
+    }
+
     fn carry_out(&mut self) {
         loop {
             let effects = self.core.take_effects();
@@ -214,20 +263,20 @@
         match effect {
             Effect::SetUp { server, set_up } => {
                 let call = set_up.call;
-                if !self.links.post(server, ToServer::SetUp(set_up)) {
+                if !self.links.post(server, ToServer::SetUp(set_up), now) {
                     self.core.not_sent(now, server, call);
                 }
             }
             Effect::GiveUp { server, call } => {
-                self.links.post(server, ToServer::GiveUp(call));
+                self.links.post(server, ToServer::GiveUp(call), now);
             }
             Effect::Release { server, call, cause } => {
-                self.links.post(server, ToServer::Release(call, cause));
+                self.links.post(server, ToServer::Release(call, cause), now);
             }
             Effect::Probe { server } => {
                 let call = self.shared.new_call();
                 self.probes.retain(|_, (_, sent)| now - *sent < 10_000_000);
-                if self.links.post(server, ToServer::Probe(call)) {
+                if self.links.post(server, ToServer::Probe(call), now) {
                     self.probes.insert(call, (server, now));
                 }
             }
--- a/agent/src/net/ports.rs
+++ b/agent/src/net/ports.rs
@@ -116,6 +116,10 @@
         link: LinkId,
         loss: LinkLoss,
     },
+    /// Something that only shows that the connection is well.
+    Progress {
+        link: LinkId,
+    },
     Answered {
         link: LinkId,
         call: CallId,
--- a/agent/tests/common/mod.rs
+++ b/agent/tests/common/mod.rs
@@ -44,7 +44,7 @@
             "groupSize": 1,
             "services": [class("standard-check", 1.0), class("signing-check", 8.0)],
             "parties": [{"name": "lembah-realty", "quotaRps": 1000}],
-            "policyLimits": {"cancel": true, "dialTimeoutMs": 500, "tryLimit": 5, "retryAfter": true,
+            "policyLimits": {"cancel": true, "mayProbe": true, "dialTimeoutMs": 500, "tryLimit": 5, "retryAfter": true,
                 "maxRetryAfterMs": 2000, "maxOpen": 20000},
             "specifics": {"clearWaitMs": 200, "widths": [1, 1], "allowedPools": [[0, 1, 2, 3], [0, 1, 2, 3]]},
             "rules": {"stopSendingWithinMs": 500},
@@ -148,6 +148,8 @@
 pub struct Lines {
     pub stream: TcpStream,
     reader: BufReader<TcpStream>,
+    /// Answers tests by itself, as servers do, unless this is off.
+    pub answers_tests: bool,
 }
 
 impl Lines {
@@ -155,7 +157,7 @@
         stream.set_read_timeout(Some(PATIENCE)).expect("settable");
         stream.set_nodelay(true).expect("settable");
         let reader = BufReader::new(stream.try_clone().expect("clonable"));
-        Lines { stream, reader }
+        Lines { stream, reader, answers_tests: false }
     }
 
     pub fn raw(&mut self, bytes: &[u8]) {
@@ -175,12 +177,28 @@
         let mut line = String::new();
         match self.reader.read_line(&mut line) {
             Ok(0) => None,
-            Ok(_) => Some(serde_json::from_str(&line).expect("JSON")),
+            Ok(_) => {
+                let message: Value = serde_json::from_str(&line).expect("JSON");
+                if !self.answers_tests || message["op"] != "test" {
+                    return Some(message);
+                }
+                self.say(json!({"op": "tested", "call": message["call"], "with": {}, "why": 1}));
+                self.next()
+            }
             Err(error) if error.kind() == std::io::ErrorKind::ConnectionReset => None,
             Err(error) => panic!("nothing comes: {error}"),
         }
     }
 
+    /// Answers the test that comes next; false where something else comes.
+    pub fn answered_test(&mut self) -> bool {
+        self.answers_tests = false;
+        let message = self.next().expect("a message");
+        self.answers_tests = true;
+        self.say(json!({"op": "tested", "call": message["call"], "with": {}, "why": 1}));
+        message["op"] == "test"
+    }
+
     /// The next message, which must be this one about this call.
     pub fn expect(&mut self, op: &str, call: u64) -> Value {
         let message = self.next().expect("a message");
@@ -233,6 +251,7 @@
     pub fn accept(&self) -> Lines {
         let (stream, _) = self.listener.accept().expect("a connection");
         let mut lines = Lines::new(stream);
+        lines.answers_tests = true;
         lines.say(json!({"op": "group", "call": hex(0), "with": {"load": "spare:900;total:900"}}));
         lines
     }
--- a/agent/tests/m3ua.rs
+++ b/agent/tests/m3ua.rs
@@ -287,15 +287,19 @@
 
 #[test]
 fn silence_and_refusal_are_answered_in_time_with_their_causes() {
-    let server = Server::new();
-    let (_agent, address) = start(&[server.address], m3ua(None, 600));
-    let mut server = server.accept();
+    let at = Server::new();
+    let (mut agent, address) = start(&[at.address], m3ua(None, 600));
+    let mut server = at.accept();
     let mut client = Peer::active(address);
     client.data(&iam(1, 10, ""));
     let call = call_of(&server.next().expect("a set-up"), &mut server);
     assert_eq!(client.expect_call(REL, 1).cause, 41, "given up in time");
     assert_eq!(server.expect("end", call)["why"], 16);
     client.data(&rlc(1));
+    // What is new goes by a second connection, since the first is silent.
+    agent.logged("its connection is silent, another is dialled");
+    let mut server = at.accept();
+    assert!(server.answered_test());
     client.data(&iam(2, 10, ""));
     let call = call_of(&server.next().expect("a set-up"), &mut server);
     server.say(json!({"op": "end", "call": hex(call), "why": 34, "with": {"note": "swamped"}}));
--- a/agent/tests/platform.rs
+++ b/agent/tests/platform.rs
@@ -205,6 +205,50 @@
     assert_eq!(caller.expect("end", 1)["why"], 16);
 }
 
+#[test]
+fn a_silent_connection_is_relieved_and_closed_once_the_second_answers() {
+    let (one, two) = (Server::new(), Server::new());
+    let mut agent = Setting::new(&[one.address, two.address]).start();
+    let (mut caller, mut silent, mut at_two) = (agent.caller(), one.accept(), two.accept());
+    caller.offer(1, 9000, 0);
+    silent.expect("offer", 1);
+    silent.say(accept(1));
+    caller.expect("accept", 1);
+    caller.offer(2, 9000, 0);
+    silent.expect("offer", 2);
+    silent.answers_tests = false;
+    agent.logged("its connection is silent, another is dialled");
+    let mut relief = one.accept();
+    let test = relief.answered_test();
+    assert_eq!(silent.next().expect("a message")["op"], "test", "each is tested");
+    assert!(test, "and the second answers");
+    assert_eq!(silent.next(), None, "the first is closed");
+    at_two.expect("offer", 2);
+    at_two.say(accept(2));
+    caller.expect("accept", 2);
+    relief.say(end(1, 16));
+    caller.expect("end", 1);
+}
+
+#[test]
+fn a_slow_answer_on_a_connection_that_is_well_is_waited_for() {
+    let server = Server::new();
+    let mut agent = Setting::new(&[server.address]).start();
+    let (mut caller, mut first) = (agent.caller(), server.accept());
+    caller.offer(1, 9000, 0);
+    first.expect("offer", 1);
+    agent.logged("its connection is silent, another is dialled");
+    let mut second = server.accept();
+    assert!(first.answered_test() && second.answered_test());
+    caller.offer(2, 9000, 0);
+    second.expect("offer", 2);
+    second.say(accept(2));
+    caller.expect("accept", 2);
+    first.say(accept(1));
+    caller.expect("accept", 1);
+    assert_eq!(first.next(), None, "nothing is left to come on it");
+}
+
 #[test]
 fn a_dead_servers_calls_go_elsewhere_and_what_stood_is_released() {
     let (one, two) = (Server::on("127.0.0.2:0"), Server::new());
