A call that was reset goes back where nobody else takes it; relief comes sooner

Now a server whose attempt was reset or lost is asked again when no other takes the call; a full one is not.

--- a/agent/src/net/links.rs
+++ b/agent/src/net/links.rs
@@ -19,14 +19,14 @@
 /// A connection that owes a word is taken for silent after so many times the longest pause it lately made,
 /// within these bounds: a server that is short of processor answers late on a connection that is well.
 const PAUSES: Micros = 3;
-const SOON: Micros = 250_000;
+const SOON: Micros = 120_000;
 const LATE: Micros = 2_000_000;
 /// The longest pause that is remembered falls by one part in so many of the time that passes.
 const FORGETS: Micros = 10;
 /// A connection on which calls stand is tested after this long without a word: their releases come on it.
 const UNHEARD: Micros = 1_000_000;
 /// What both connections were asked comes this much later on the first, or never.
-const GRACE: Micros = 150_000;
+const GRACE: Micros = 80_000;
 /// Without an answer on either, the first is closed after this, and no other is dialled before.
 const NO_PROOF: Micros = 3_000_000;
 /// A peer of the M3UA front has one association. It answers a heartbeat within this, or the association ends.
--- a/src/controller.rs
+++ b/src/controller.rs
@@ -213,6 +213,8 @@
     subject: String,
     worth: f64,
     tried: Vec<ServerId>,
+    /// Those of them where the attempt was reset or lost, which may be the connection's fault alone.
+    broken: Vec<ServerId>,
     attempts: u32,
     /// When the attempt that is out was sent.
     out: Option<Micros>,
@@ -414,6 +416,7 @@
             subject: call.subject,
             worth,
             tried: Vec::new(),
+            broken: Vec::new(),
             attempts: 0,
             out: None,
             stands: false,
@@ -425,8 +428,9 @@
         self.route(now, call.id, actions);
     }
 
-    /// The servers that a call may go to with their weights, and its first choice where that shows room.
-    fn choices(&self, now: Micros, open: &Open) -> (Vec<(ServerId, f64)>, Option<ServerId>) {
+    /// The servers that a call may go to with their weights, and its first choice where that shows room; or,
+    /// for one that goes back, those where it was reset or lost.
+    fn choices(&self, now: Micros, open: &Open, back: bool) -> (Vec<(ServerId, f64)>, Option<ServerId>) {
         let allowed = self.settings.classes.get(open.class).and_then(|class| class.servers.as_ref());
         let mut choices: Vec<(ServerId, f64)> = Vec::new();
         let mut first = None;
@@ -435,7 +439,7 @@
                 && Some(state.number) != self.settings.home
                 && allowed.is_none_or(|numbers| numbers.contains(&state.number))
                 && (!open.in_transit || state.number == open.dest)
-                && !open.tried.contains(server)
+                && if back { open.broken.contains(server) } else { !open.tried.contains(server) }
                 && state.shunned_until <= now;
             // A set-up that cannot stand in time there would only push back those that can.
             if !usable || self.wait(state, now) > STANDS_WITHIN * (open.worthwhile - (now - open.came)) as f64
@@ -462,11 +466,16 @@
     /// Sends the call to a server that has room, or gives the final answer.
     fn route(&mut self, now: Micros, id: CallId, actions: &mut Vec<Action>) {
         let Some(open) = self.calls.get(&id) else { return };
-        let (mut choices, mut first) = self.choices(now, open);
+        let (mut choices, mut first) = self.choices(now, open, false);
         let (dest, until, worth) = (open.dest, open.until, open.worth);
         let late = now >= until || open.attempts >= self.settings.limits.attempts.max(1);
         let mut picked = None;
-        while !late && !choices.is_empty() {
+        // Many set-ups that were reset at once are more than the others take at once.
+        let mut back = self.choices(now, open, true).0;
+        while !late && !(choices.is_empty() && back.is_empty()) {
+            if choices.is_empty() {
+                choices = std::mem::take(&mut back);
+            }
             let place = match first.take() {
                 Some(first) => choices.iter().position(|choice| choice.0 == first).unwrap_or(0),
                 None => self.draw(&choices),
@@ -810,6 +819,9 @@
         let Some(open) = self.calls.get_mut(&id) else { return };
         let stood = open.stands;
         let sent = open.out.take().unwrap_or(now);
+        if matches!(outcome, Outcome::Reset | Outcome::Cancelled) {
+            open.broken.push(server);
+        }
         let mut pressed = false;
         if let Some(state) = self.servers.get_mut(&server) {
             state.out.remove(&(sent, id));
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -352,3 +352,21 @@
     }
     assert!(served[0] > 150, "{served:?}, 200 first tries each");
 }
+
+#[test]
+fn a_call_that_was_reset_goes_back_where_nobody_else_takes_it() {
+    let mut stand = Stand::new(settings(), 1);
+    let (id, actions) = stand.call(0, 0);
+    assert_eq!(sent(&actions), Some(id_of(0)));
+    stand.ended(id, id_of(0), Outcome::Reset, Cause::Untold);
+    stand.pass(300 * MS);
+    let again = stand.event(Event::Timer(Timer::Call(id)));
+    assert_eq!(sent(&again), Some(id_of(0)), "the connection may have been at fault alone");
+    // A server that is full, or has no process, is not asked twice.
+    for outcome in [Outcome::Full, Outcome::ConnectFailed] {
+        let mut stand = Stand::new(settings(), 1);
+        let (id, _) = stand.call(0, 0);
+        let actions = stand.ended(id, id_of(0), outcome, Cause::Untold);
+        assert!(answered(&actions), "{outcome:?}");
+    }
+}
