--- a/src/controller.rs
+++ b/src/controller.rs
@@ -346,12 +346,12 @@
             self.servers.retain(|id, _| entries.iter().any(|entry| entry.server == *id));
         }
         for entry in entries {
+            let phase = self.random.figure();
             // Where servers are replaced all the time, nothing may be kept of those that were.
             if entry.state == Readiness::Gone {
                 self.servers.remove(&entry.server);
                 continue;
             }
-            let phase = self.random.figure();
             let server = self.servers.entry(entry.server).or_default();
             if server.started != entry.started {
                 server.image = None;
