Relieve silent connections as often as it takes, and blame no server for what the way lost

Checked by printing what each server was believed to be when a call was refused: one connection was silent for 1.2 s with 14 set-ups out because the second had gone silent within the 3 s in which no other was dialled (net/links.rs, relief_after); their time-outs then had the server shunned for 4 s though it answered on the new connection (controller.rs, ended). Ruled out: the gap's bound by itself, which follows the delay down within a tick. Now relief may follow relief after 300 ms, and a time-out or reset of a set-up sent before an answered one is no failure of its server.

--- a/agent/src/net/links.rs
+++ b/agent/src/net/links.rs
@@ -27,8 +27,10 @@
 const UNHEARD: Micros = 1_000_000;
 /// What both connections were asked comes this much later on the first, or never.
 const GRACE: Micros = 80_000;
-/// Without an answer on either, the first is closed after this, and no other is dialled before.
+/// Without an answer on either, the first is closed after this.
 const NO_PROOF: Micros = 3_000_000;
+/// From one second connection to the next: where the way is bad, the second may soon be silent too.
+const RELIEF_PAUSE: Micros = 300_000;
 /// A peer of the M3UA front has one association. It answers a heartbeat within this, or the association ends.
 const BEAT: Micros = 2_000_000;
 
@@ -293,7 +295,7 @@
                 (Way::Platform(_), _) if link.relief.is_none() && now >= link.relief_after => {
                     self.epochs += 1;
                     link.relief = Some(self.epochs);
-                    link.relief_after = now + NO_PROOF;
+                    link.relief_after = now + RELIEF_PAUSE;
                     found.push(Watch::Relieve(LinkId { server, epoch: self.epochs }, link.way));
                 }
                 (Way::Platform(_), _) => {}
@@ -373,3 +375,73 @@
     });
     calls.collect()
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::core::SetUp;
+    use crate::net::conn;
+
+    const MS: Micros = 1_000;
+    const AT: ServerId = ServerId(1);
+
+    fn set_up(call: u64) -> ToServer {
+        let (number, description) = ("".into(), "".into());
+        ToServer::SetUp(SetUp { call: CallId(call), class: 0, number, description, wait: 0 })
+    }
+
+    /// A server with one connection that is up.
+    fn links() -> Links {
+        let mut links = Links::default();
+        links.listed(AT, Way::Platform(([127, 0, 0, 1], 1).into()), 0);
+        let (id, _) = links.due(0)[0];
+        links.up(id, conn::channel().0, 0);
+        links
+    }
+
+    fn relief(links: &mut Links, now: Micros) -> Option<LinkId> {
+        links.watch(now, |_| false).into_iter().find_map(|found| match found {
+            Watch::Relieve(id, _) => Some(id),
+            _ => None,
+        })
+    }
+
+    #[test]
+    fn a_silent_connection_is_relieved_as_often_as_it_takes() {
+        let (mut links, mut now) = (links(), 0);
+        for round in 1..=3 {
+            // One may be silent from its start; the next follows without waiting long.
+            links.post(AT, set_up(round), now);
+            assert!(relief(&mut links, now + SOON - MS).is_none());
+            now += RELIEF_PAUSE;
+            let second = relief(&mut links, now).expect("the connection has said nothing");
+            assert!(relief(&mut links, now + MS).is_none(), "one at a time");
+            assert_eq!(links.up(second, conn::channel().0, now).len(), 2, "both are tested");
+            now += MS;
+            links.heard(second, None, true, now);
+            now += GRACE;
+            let reset = links.watch(now, |_| false);
+            assert!(matches!(&reset[..], [Watch::Reset(AT, calls)] if *calls == [CallId(round)]));
+        }
+    }
+
+    #[test]
+    fn a_server_that_is_used_to_long_pauses_is_given_time() {
+        let mut links = links();
+        let first = LinkId { server: AT, epoch: 1 };
+        links.post(AT, set_up(1), 0);
+        links.heard(first, Some(CallId(1)), false, 400 * MS);
+        links.post(AT, set_up(2), 400 * MS);
+        assert!(relief(&mut links, 1_400 * MS).is_none());
+        assert!(relief(&mut links, 1_700 * MS).is_some());
+    }
+
+    #[test]
+    fn a_second_connection_that_cannot_be_had_ends_the_first() {
+        let mut links = links();
+        links.post(AT, set_up(1), 0);
+        let second = relief(&mut links, SOON).expect("silent");
+        assert_eq!(links.lost(second, LinkLoss::Unanswered, SOON), [CallId(1)], "it may have run");
+        assert!(!links.post(AT, set_up(2), SOON), "nothing goes on the first any more");
+    }
+}
--- a/src/controller.rs
+++ b/src/controller.rs
@@ -472,7 +472,11 @@
         let mut picked = None;
         // Many set-ups that were reset at once are more than the others take at once.
         let mut back = self.choices(now, open, true).0;
-        while !late && !(choices.is_empty() && back.is_empty()) {
+        if late {
+            choices.clear();
+            back.clear();
+        }
+        while !choices.is_empty() || !back.is_empty() {
             if choices.is_empty() {
                 choices = std::mem::take(&mut back);
             }
@@ -839,6 +843,8 @@
                 }
                 // Anybody could else have the servers shunned with set-ups that make no sense.
                 (Outcome::Error, Cause::NumberBusy | Cause::Unproven) => {}
+                // Where later ones were answered, it was lost on the way: the server is well.
+                (Outcome::Timeout | Outcome::Reset, _) if state.answered > Some(sent) => {}
                 (Outcome::ConnectFailed | Outcome::Timeout | Outcome::Reset, _) if !stood => {
                     Self::shun(state, now)
                 }
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -370,3 +370,18 @@
         assert!(answered(&actions), "{outcome:?}");
     }
 }
+
+#[test]
+fn what_was_lost_on_the_way_to_a_server_that_answers_is_no_failure_of_its() {
+    let mut stand = Stand::new(settings(), 1);
+    let lost: Vec<CallId> = (0..4).map(|_| stand.call(0, 0).0).collect();
+    stand.pass(10 * MS);
+    let (later, _) = stand.call(0, 0);
+    stand.pass(10 * MS);
+    stand.first(later, id_of(0), 10 * MS);
+    for id in lost {
+        stand.pass(MS);
+        stand.ended(id, id_of(0), Outcome::Timeout, Cause::Untold);
+    }
+    assert_eq!(sent(&stand.call(0, 0).1), Some(id_of(0)), "it is not shunned");
+}
