--- a/agent/src/core/relay.rs
+++ b/agent/src/core/relay.rs
@@ -19,9 +19,9 @@
 const MOST_OWED: usize = 20_000;
 /// A caller confirms a release within this, or else another connection takes it: the first may have gone, or
 /// belong to somebody who does not listen. A connection with nothing but tests takes it only after this time.
-const CONFIRMED_WITHIN: Micros = 300_000;
+const CONFIRMED_WITHIN: Micros = 150_000;
 /// So many connections are given one release.
-const MOST_GIVEN: usize = 4;
+const MOST_GIVEN: usize = 6;
 
 #[derive(Clone, Copy, Debug)]
 pub struct Standing {
--- a/agent/src/core/tests.rs
+++ b/agent/src/core/tests.rs
@@ -233,9 +233,9 @@
     stand.core.client_closed(stand.now, CALLER);
     assert_eq!(stand.core.take_effects(), [], "the others may be there for tests alone");
     let given = stand.now;
-    assert_eq!(stand.pass(400 * MS), [(given + 300 * MS, to(third))]);
+    assert_eq!(stand.pass(200 * MS), [(given + 150 * MS, to(third))]);
     stand.core.release_heard(stand.now, second, CallId(8));
-    assert_eq!(stand.pass(300 * MS), [(given + 600 * MS, to(second))], "not confirmed by who was not told");
+    assert_eq!(stand.pass(150 * MS), [(given + 300 * MS, to(second))], "not confirmed by who was not told");
     stand.core.release_heard(stand.now, third, CallId(8));
     assert_eq!(stand.pass(9_000 * MS), []);
     assert_eq!(stand.core.counts().releases_lost, 0);
--- a/agent/src/net/links.rs
+++ b/agent/src/net/links.rs
@@ -1,7 +1,9 @@
 //! The connections to servers: one each, dialled as soon as the server is listed and again when it is lost.
 //!
-//! A connection can go silent without an end. Where one has owed a word for too long, a second is dialled and
-//! takes over what is new; the first is closed once the second has brought an answer and it has not.
+//! A connection can go silent without an end. Where one has owed a word for too long, a second is dialled
+//! and takes over what is new. The first is closed once the second has brought an answer and it has not.
+//! Another follows then, since a server sends the releases that it wrote to a dead connection on the next
+//! that is opened. Where the first answers too, it stays: a release may be on its way on it.
 
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -96,6 +98,13 @@
     proof: Option<Micros>,
 }
 
+impl Former {
+    /// It has brought something since it was taken for silent.
+    fn is_well(&self) -> bool {
+        self.conn.heard > self.since
+    }
+}
+
 enum State {
     /// Dialled again at this time.
     Down(Micros),
@@ -131,6 +140,23 @@
     }
 }
 
+impl Link {
+    /// Has another connection dialled, unless one is already.
+    fn relieve(&mut self, server: ServerId, epochs: &mut u64, now: Micros) -> Option<Watch> {
+        if self.relief.is_some() || !matches!(self.state, State::Up(_)) {
+            return None;
+        }
+        // A third makes way first, so that what the server wrote to it meanwhile comes on the next.
+        if let Some(former) = self.former.take_if(|former| former.conn.out.is_empty()) {
+            former.conn.end();
+        }
+        *epochs += 1;
+        self.relief = Some(*epochs);
+        self.relief_after = now + RELIEF_PAUSE;
+        Some(Watch::Relieve(LinkId { server, epoch: *epochs }, self.way))
+    }
+}
+
 /// What has to be done about a silent connection.
 pub enum Watch {
     /// Is tested, by this connection.
@@ -210,25 +236,26 @@
     }
 
     /// A connection is there. Where it relieves another, both are to be tested, which tells whether that one
-    /// is dead or its server only slow.
-    pub fn up(&mut self, id: LinkId, outbox: Outbox<ToServer>, now: Micros) -> Vec<LinkId> {
-        let Some(link) = self.links.get_mut(&id.server) else { return Vec::new() };
+    /// is dead or its server only slow; returns these, and the set-ups that went with one before them.
+    pub fn up(&mut self, id: LinkId, outbox: Outbox<ToServer>, now: Micros) -> (Vec<LinkId>, Vec<CallId>) {
+        let Some(link) = self.links.get_mut(&id.server) else { return Default::default() };
         (link.pause, link.lost, link.beat) = (FIRST_PAUSE, None, None);
         let conn = Conn::new(id.epoch, outbox, now);
         match std::mem::replace(&mut link.state, State::Up(conn)) {
             State::Up(conn) => {
                 link.relief = None;
                 let first = LinkId { server: id.server, epoch: conn.epoch };
-                link.former = Some(Former { conn, since: now, proof: None });
-                vec![first, id]
+                let before = link.former.replace(Former { conn, since: now, proof: None });
+                let out = before.map(|former| former.conn.end()).unwrap_or_default();
+                (vec![first, id], out)
             }
             State::Dialling(_, waiting) => {
                 for message in waiting {
                     self.post(id.server, message, now);
                 }
-                Vec::new()
+                Default::default()
             }
-            State::Down(_) => Vec::new(),
+            State::Down(_) => Default::default(),
         }
     }
 
@@ -270,16 +297,15 @@
     pub fn watch(&mut self, now: Micros, stand: impl Fn(ServerId) -> bool) -> Vec<Watch> {
         let mut found = Vec::new();
         for (&server, link) in &mut self.links {
-            if let Some(former) = &link.former {
-                let said = former.conn.heard > former.since;
+            if let Some(former) = link.former.as_ref().filter(|former| !former.is_well()) {
                 let over = match former.proof {
-                    Some(_) if said => former.conn.out.is_empty(),
                     Some(at) => now >= at + GRACE,
                     None => now >= former.since + NO_PROOF,
                 };
                 if over {
                     let out = link.former.take().map(|former| former.conn.end()).unwrap_or_default();
                     found.push(Watch::Reset(server, out));
+                    found.extend(link.relieve(server, &mut self.epochs, now));
                 }
                 continue;
             }
@@ -292,11 +318,8 @@
                 continue;
             }
             match (link.way, link.beat) {
-                (Way::Platform(_), _) if link.relief.is_none() && now >= link.relief_after => {
-                    self.epochs += 1;
-                    link.relief = Some(self.epochs);
-                    link.relief_after = now + RELIEF_PAUSE;
-                    found.push(Watch::Relieve(LinkId { server, epoch: self.epochs }, link.way));
+                (Way::Platform(_), _) if now >= link.relief_after => {
+                    found.extend(link.relieve(server, &mut self.epochs, now));
                 }
                 (Way::Platform(_), _) => {}
                 (Way::M3ua(_), None) => {
@@ -416,12 +439,20 @@
             now += RELIEF_PAUSE;
             let second = relief(&mut links, now).expect("the connection has said nothing");
             assert!(relief(&mut links, now + MS).is_none(), "one at a time");
-            assert_eq!(links.up(second, conn::channel().0, now).len(), 2, "both are tested");
+            assert_eq!(links.up(second, conn::channel().0, now).0.len(), 2, "both are tested");
             now += MS;
             links.heard(second, None, true, now);
             now += GRACE;
-            let reset = links.watch(now, |_| false);
-            assert!(matches!(&reset[..], [Watch::Reset(AT, calls)] if *calls == [CallId(round)]));
+            let found = links.watch(now, |_| false);
+            let [Watch::Reset(AT, calls), Watch::Relieve(third, _)] = &found[..] else {
+                panic!("the first is closed, and one more opened");
+            };
+            assert_eq!(*calls, [CallId(round)]);
+            links.up(*third, conn::channel().0, now);
+            now += MS;
+            links.heard(second, None, true, now);
+            links.heard(*third, None, true, now);
+            assert!(links.watch(now + GRACE, |_| false).is_empty(), "both are well and stay");
         }
     }
 
--- a/agent/src/net/owner.rs
+++ b/agent/src/net/owner.rs
@@ -112,8 +112,12 @@
             }
             Input::ReleaseHeard { client, call } => self.core.release_heard(now, client, call),
             Input::LinkUp { link, outbox } if self.links.is_current(link) => {
-                for both in self.links.up(link, outbox, now) {
-                    self.test(both);
+                let (both, out) = self.links.up(link, outbox, now);
+                for link in both {
+                    self.test(link);
+                }
+                for call in out {
+                    self.core.attempt_lost(now, link.server, call);
                 }
             }
             Input::LinkLost { link, loss } if self.links.is_current(link) => {
--- a/agent/tests/platform.rs
+++ b/agent/tests/platform.rs
@@ -223,6 +223,8 @@
     assert_eq!(silent.next().expect("a message")["op"], "test", "each is tested");
     assert!(test, "and the second answers");
     assert_eq!(silent.next(), None, "the first is closed");
+    // What the server wrote to it comes on the next connection that is opened.
+    let mut relief = one.accept();
     at_two.expect("offer", 2);
     at_two.say(accept(2));
     caller.expect("accept", 2);
@@ -246,7 +248,8 @@
     caller.expect("accept", 2);
     first.say(accept(1));
     caller.expect("accept", 1);
-    assert_eq!(first.next(), None, "nothing is left to come on it");
+    first.say(end(1, 16));
+    caller.expect("end", 1);
 }
 
 #[test]
