--- a/agent/src/snmp/mib.rs
+++ b/agent/src/snmp/mib.rs
@@ -66,6 +66,7 @@
         put(&[4, place, 0], counter(counts.breaches(breach)));
     }
     put(&[5, 1, 0], counter(bad_requests));
+    put(&[5, 2, 0], counter(counts.let_go));
     objects
 }
 
