--- a/agent/tests/m3ua.rs
+++ b/agent/tests/m3ua.rs
@@ -616,3 +616,15 @@
     }
     text
 }
+
+#[test]
+fn a_peer_that_does_not_come_up_is_closed() {
+    let (_agent, address) = start(&[], m3ua(None, 5000));
+    let mut usual = Peer::active(address);
+    let mut silent = Peer::new(TcpStream::connect(address).expect("it listens"), CLIENT);
+    let mut half = Peer::new(TcpStream::connect(address).expect("it listens"), CLIENT);
+    half.raw(&[1, 0, 3]);
+    assert!(silent.next().is_none() && half.next().is_none_or(|heard| heard.kind == ERR));
+    usual.say(BEAT, &[(9, b"still")]);
+    usual.expect(BEAT_ACK);
+}
