--- a/agent/src/cli.rs
+++ b/agent/src/cli.rs
@@ -151,6 +151,9 @@
             config.site.tenant_names.len(),
             config.known.servers.len()
         );
+        if let Some(ops) = config.ops {
+            println!("ops: answers on {ops}");
+        }
         if let Some(path) = self.m3ua {
             let m3ua = M3uaConfig::load(&path, &config.site)?;
             println!(
--- a/agent/src/config.rs
+++ b/agent/src/config.rs
@@ -11,6 +11,7 @@
 use steprelay_settings::Site;
 
 use crate::board;
+use crate::ops;
 use crate::ports::Way;
 
 #[derive(Debug, thiserror::Error)]
@@ -46,6 +47,8 @@
 pub struct Config {
     pub name: String,
     pub listen: SocketAddr,
+    /// Where operators ask, if anywhere.
+    pub ops: Option<SocketAddr>,
     pub seed: u64,
     pub board: Option<SocketAddr>,
     pub known: Known,
@@ -67,6 +70,7 @@
     #[serde(default)]
     name: String,
     listen: String,
+    ops: Option<String>,
     #[serde(default)]
     seed: String,
     #[serde(default)]
@@ -134,6 +138,13 @@
         let text = std::fs::read_to_string(&path)
             .map_err(|error| ConfigError::Unreadable { path: path.clone(), error })?;
         let raw = serde_json::from_str(&text).map_err(|error| ConfigError::NotJson { path, error })?;
+        let mut raw: RawConfig = raw;
+        // Two processes of an upgrade share the file, and differ in this address.
+        let named = std::env::var("LB_OPS").ok();
+        if let Some(named) = &named {
+            address("LB_OPS", named)?;
+        }
+        raw.ops = named.or(raw.ops);
         Self::from_raw(raw)
     }
 
@@ -148,16 +159,19 @@
         };
         let memory = raw.limits.memory_mb.unwrap_or(MEMORY) << 20;
         let sockets = raw.limits.sockets.unwrap_or(SOCKETS);
+        let ops = raw.ops.as_deref().map(|text| address("ops", text)).transpose()?;
+        let own = OWN_SOCKETS + if ops.is_some() { ops::MOST } else { 0 };
         Ok(Config {
             name: raw.name,
             listen: address("listen", &raw.listen)?,
+            ops,
             seed,
             board: raw.board.as_deref().map(|text| address("board", text)).transpose()?,
             known: known(raw.known)?,
             site,
             bounds: Bounds {
                 // Callers hold a third of the descriptors; the second third is for others that come to call.
-                connections: (sockets * 2 / 3).min(sockets.saturating_sub(OWN_SOCKETS)).max(1),
+                connections: (sockets * 2 / 3).min(sockets.saturating_sub(own)).max(1),
                 connections_of_one: (sockets / 3).max(1),
                 bytes: memory / HELD_PART,
             },
--- a/agent/src/front/platform/clients.rs
+++ b/agent/src/front/platform/clients.rs
@@ -1,16 +1,19 @@
 //! Towards callers: connections that bring set-ups, and take answers and releases.
 
+use std::cell::Cell;
 use std::io;
+use std::mem::MaybeUninit;
 use std::net::IpAddr;
 use std::rc::Rc;
 
+use socket2::SockRef;
 use steprelay_core::{ClientId, Peer, ReleaseCause, Request, Verdict};
 use steprelay_decisions::{CallId, Micros};
 use tokio::net::TcpStream;
 use tokio::time::Duration;
 
 use super::message::{self, Message, Unreadable};
-use crate::ports::conn::{self, Incoming, Outbox};
+use crate::ports::conn::{self, Incoming};
 use crate::ports::pool::Buffer;
 use crate::ports::Shared;
 use crate::ports::{Input, ToClient};
@@ -23,7 +26,6 @@
     let client = ClientId(number);
     let _ = stream.set_nodelay(true);
     let (outbox, mut inbox) = conn::channel();
-    let own = outbox.clone();
     let peer = stream.peer_addr().ok().map(|address| match address.ip() {
         IpAddr::V4(ip) => Peer(u32::from(ip).into()),
         IpAddr::V6(ip) => Peer(ip.into()),
@@ -32,9 +34,20 @@
         return;
     }
     let cut = inbox.cut();
+    let mut incoming = Incoming::new(&stream, &shared.pool, message::split, WHOLE_WITHIN);
+    let (inputs, in_part) = (Cell::new(0), incoming.in_part());
+    // An answer that can't be passed on ends the connection, so that its caller can tell. So does the owner's
+    // word to let it go, where nothing has come that the owner had not seen.
+    let left_out = |line: &ToClient| match line {
+        ToClient::LetGo { inputs: seen } if inputs.get() != *seen || in_part.get() || unread(&stream) => {
+            Ok(())
+        }
+        ToClient::LetGo { .. } => Err(io::ErrorKind::ConnectionAborted.into()),
+        _ => Err(io::ErrorKind::InvalidInput.into()),
+    };
     let ended = tokio::select! {
-        ended = read(&stream, client, &shared, &own) => ended,
-        ended = conn::write_posted(&stream, &shared.pool, &mut inbox, encode, left_out) => ended,
+        ended = read(&mut incoming, client, &shared, &inputs) => ended,
+        ended = conn::write_posted(&stream, &shared.pool, &mut inbox, encode, left_out, |_| {}) => ended,
         _ = cut.notified() => Ok(()),
     };
     if let Err(error) = ended {
@@ -47,58 +60,60 @@
     let _ = shared.inputs.send(Input::ClientClosed { client }).await;
 }
 
+/// Whether something has arrived on a connection that was not read.
+fn unread(stream: &TcpStream) -> bool {
+    // Neither an end nor an error is anything that would be lost.
+    SockRef::from(stream).peek(&mut [MaybeUninit::uninit()]).is_ok_and(|waits| waits > 0)
+}
+
+/// Hands on what comes; `inputs` counts what the owner is told.
 async fn read(
-    stream: &TcpStream,
+    incoming: &mut Incoming<'_>,
     client: ClientId,
     shared: &Shared,
-    own: &Outbox<ToClient>,
+    inputs: &Cell<u64>,
 ) -> io::Result<()> {
-    let mut incoming = Incoming::new(stream, &shared.pool, message::split, WHOLE_WITHIN);
     while let Some(line) = incoming.next().await? {
         let came = shared.clock.now();
         match take(line, client, came, shared) {
-            Ok(Taken::Input(input)) => {
+            Ok(Some(input)) => {
+                inputs.set(inputs.get() + 1);
                 if shared.inputs.send(input).await.is_err() {
                     return Ok(());
                 }
             }
-            Ok(Taken::Reply(reply)) => {
-                if !own.post(reply) {
-                    return Ok(());
-                }
-            }
-            Ok(Taken::Nothing) => {}
+            Ok(None) => {}
             Err(_) => return Err(io::ErrorKind::InvalidData.into()),
         }
     }
     Ok(())
 }
 
-enum Taken {
-    Input(Input),
-    Reply(ToClient),
-    Nothing,
-}
-
 /// What a caller's line asks for. What names a call gets a plain answer even where it makes no sense; what
 /// can't be answered ends the connection.
-fn take(line: &[u8], client: ClientId, came: Micros, shared: &Shared) -> Result<Taken, Unreadable> {
+fn take(line: &[u8], client: ClientId, came: Micros, shared: &Shared) -> Result<Option<Input>, Unreadable> {
     let message = Message::read(line)?;
     let call = message.named_call()?;
-    Ok(match message.op.as_ref() {
+    Ok(Some(match message.op.as_ref() {
         "offer" => match request(&message, call, came, shared) {
-            Some(request) => Taken::Input(Input::Offer { client, request }),
-            None => Taken::Reply(ToClient::Final { call, verdict: Verdict::Invalid }),
+            Some(request) => Input::Offer { client, request },
+            None => {
+                let class = message.class.as_deref().and_then(|class| place(&shared.site.class_names, class));
+                Input::Unfit { client, call, class }
+            }
         },
-        "end" => Taken::Input(Input::ClientEnded { client, call, cause: message.cause() }),
-        "ended" => Taken::Input(Input::ReleaseHeard { client, call }),
-        "test" => Taken::Input(Input::ClientTested { client, call }),
-        _ => Taken::Nothing,
-    })
+        "end" => Input::ClientEnded { client, call, cause: message.cause() },
+        "ended" => Input::ReleaseHeard { client, call },
+        "test" => Input::ClientTested { client, call },
+        _ => return Ok(None),
+    }))
+}
+
+fn place(names: &[String], name: &str) -> Option<usize> {
+    names.iter().position(|known| known == name)
 }
 
 fn request(message: &Message, call: CallId, came: Micros, shared: &Shared) -> Option<Request> {
-    let place = |names: &[String], name: &str| names.iter().position(|known| known == name);
     let site = &shared.site;
     let class = place(&site.class_names, message.class.as_deref()?)?;
     let tenant = match message.tenant.as_deref() {
@@ -148,11 +163,6 @@
     Some(extras)
 }
 
-/// An answer that can't be passed on ends the connection, so that its caller can tell.
-fn left_out(_: &ToClient) -> io::Result<()> {
-    Err(io::ErrorKind::InvalidInput.into())
-}
-
 fn encode(line: &ToClient, buffer: &mut Buffer) -> io::Result<()> {
     match line {
         ToClient::Answer { call, description } => {
@@ -176,5 +186,8 @@
         // Callers of this front learn it from the tests that they make.
         ToClient::Draining | ToClient::Pressure(_) => Ok(()),
         ToClient::Passed(call) => message::write(buffer, "tested", *call, &[], Some(1), None),
+        ToClient::NotPassed(call) => message::write(buffer, "tested", *call, &[], Some(0), None),
+        // No message: it is left out, and heard of by that.
+        ToClient::LetGo { .. } => Err(io::ErrorKind::Unsupported.into()),
     }
 }
--- a/agent/src/front/platform/servers.rs
+++ b/agent/src/front/platform/servers.rs
@@ -13,7 +13,7 @@
 use crate::ports::conn::{self, Incoming, Outbox};
 use crate::ports::pool::Buffer;
 use crate::ports::Shared;
-use crate::ports::{Input, LinkId, ToServer};
+use crate::ports::{Input, LinkId, Tallies, ToServer};
 
 /// Where the settings name no time for a dial.
 const DIAL_TIMEOUT: Duration = Duration::from_millis(500);
@@ -64,6 +64,7 @@
         }
         Ok(())
     };
+    let dispatched = |attempts| Tallies::add(&shared.tallies.dispatches, attempts);
     let encode = |line: &ToServer, buffer: &mut Buffer| encode(line, buffer, &shared.site.class_names);
     tokio::select! {
         ended = read(&stream, link, shared, &own) => {
@@ -72,7 +73,7 @@
                 shared.unreadable.say(shared.clock.now(), line);
             }
         }
-        _ = conn::write_posted(&stream, &shared.pool, &mut inbox, encode, left_out) => {}
+        _ = conn::write_posted(&stream, &shared.pool, &mut inbox, encode, left_out, dispatched) => {}
         _ = cut.notified() => {}
     };
 }
--- a/agent/src/main.rs
+++ b/agent/src/main.rs
@@ -6,6 +6,7 @@
 mod conformance;
 mod front;
 mod net;
+mod ops;
 mod ports;
 mod serve;
 mod snmp;
--- a/agent/src/net/links.rs
+++ b/agent/src/net/links.rs
@@ -227,6 +227,11 @@
         due
     }
 
+    /// Whether no first dial of a server is under way.
+    pub fn are_settled(&self) -> bool {
+        !self.links.values().any(|link| matches!(link.state, State::Dialling(..)) && link.lost.is_none())
+    }
+
     pub fn next_due(&self) -> Option<Micros> {
         let times = self.links.values().filter_map(|link| match link.state {
             State::Down(at) => Some(at),
--- a/agent/src/net/owner.rs
+++ b/agent/src/net/owner.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 use std::rc::Rc;
 
+use steprelay_core::duty::State;
 use steprelay_core::{Breach, ClientId, Core, Effect, LinkLoss, Source};
 use steprelay_decisions::{CallId, Entry, ListKind, Micros, Readiness, ServerId};
 use tokio::sync::mpsc;
@@ -10,16 +11,21 @@
 
 use super::links::{Links, Watch};
 use crate::ports::conn::Outbox;
-use crate::ports::{Input, LinkId, Shared, Snapshot, ToClient, ToServer, Way};
+use crate::ports::{Input, LinkId, OnDuty, Shared, Snapshot, ToClient, ToServer, Way};
 
 /// After a signal to stop, set-ups keep coming for so long: on new connections for 0.4 s, on those for 0.2 s
 /// more, and some time to arrive.
 const STILL_COMING: Micros = 900_000;
+/// One that another has replaced takes no connections any more; what it had accepted is known by now.
+const REPLACED_STAYS: Micros = 200_000;
 /// It looks so often whether all is answered.
 const LOOK: Micros = 20_000;
 /// Answers get this long to leave once all are given.
 const FLUSH: Micros = 400_000;
 
+/// It serves once each server listed at the start was dialled with some end, and after this in any case.
+const READY_WITHIN: Micros = 1_000_000;
+
 /// Pressure is looked at so often.
 const PRESSURE: Micros = 1_000_000;
 
@@ -34,7 +40,9 @@
     links: Links,
     /// Probes that are out, with their servers and when they left.
     probes: BTreeMap<CallId, (ServerId, Micros)>,
+    started: Micros,
     stopping: Option<Micros>,
+    replaced: bool,
     /// What clients that are told were last told of the servers' pressure, and when it is looked at again.
     pressure: u8,
     next_pressure: Micros,
@@ -42,6 +50,7 @@
 
 impl Owner {
     pub fn new(core: Core, shared: Shared, dial: Dial) -> Self {
+        let started = shared.clock.now();
         Owner {
             core,
             shared,
@@ -49,7 +58,9 @@
             clients: BTreeMap::new(),
             links: Links::default(),
             probes: BTreeMap::new(),
+            started,
             stopping: None,
+            replaced: false,
             pressure: 0,
             next_pressure: 0,
         }
@@ -61,7 +72,7 @@
         let now = self.shared.clock.now();
         // Those that are told come last in the order of ids.
         let told = self.clients.keys().next_back().is_some_and(|client| client.is_bound());
-        if now < self.next_pressure || !told || self.stopping.is_some() {
+        if now < self.next_pressure || !told || self.core.duty().state() != State::Serving {
             return;
         }
         self.next_pressure = now + PRESSURE;
@@ -91,10 +102,11 @@
             self.tell_pressure();
             self.carry_out();
             let now = self.shared.clock.now();
-            if self.stopping.is_some_and(|at| now >= at + STILL_COMING) && self.core.unanswered() == 0 {
+            if self.is_done(now) {
                 break;
             }
-            let look = self.stopping.map(|_| now + LOOK);
+            let starting = self.core.duty().state() == State::Starting;
+            let look = (self.stopping.is_some() || starting).then_some(now + LOOK);
             let wake = [self.core.next_wake(), self.links.next_due(), look].into_iter().flatten().min();
             let wake = self.shared.clock.instant(wake.unwrap_or(now + 1_000_000));
             tokio::select! {
@@ -121,6 +133,19 @@
         );
     }
 
+    /// Whether it was told to stop and nothing is left to do. One that was replaced stays for callers that
+    /// keep their connections, and for releases that none of them has confirmed.
+    fn is_done(&self, now: Micros) -> bool {
+        let Some(since) = self.stopping else { return false };
+        if self.core.unanswered() > 0 {
+            return false;
+        }
+        if !self.replaced {
+            return now >= since + STILL_COMING;
+        }
+        now >= since + REPLACED_STAYS && self.core.ties() == (0, 0)
+    }
+
     async fn flush(&self) {
         let until = self.shared.clock.now() + FLUSH;
         let waits =
@@ -144,10 +169,12 @@
                 self.core.client_closed(now, client);
             }
             Input::Offer { client, request } => self.core.offer(now, client, request),
+            Input::Unfit { client, call, class } => self.core.offer_unfit(client, call, class),
             Input::ClientEnded { client, call, cause } => self.core.client_ended(now, client, call, cause),
             Input::ClientTested { client, call } => {
                 self.core.client_tested(now, client);
-                self.tell(client, ToClient::Passed(call));
+                let passes = self.core.duty().passes();
+                self.tell(client, if passes { ToClient::Passed(call) } else { ToClient::NotPassed(call) });
             }
             Input::ReleaseHeard { client, call } => self.core.release_heard(now, client, call),
             Input::LinkUp { link, outbox } if self.links.is_current(link) => {
@@ -202,14 +229,29 @@
                 let (unanswered, standing) = (self.core.unanswered(), self.core.standing());
                 let counts = self.core.counts().clone();
                 // Whoever asked may have gone meanwhile.
-                let _ = asked.send(Snapshot { counts, unanswered, standing, servers });
+                let (targets, targets_disabled) = self.core.targets(now);
+                let _ =
+                    asked.send(Snapshot { counts, unanswered, standing, targets, targets_disabled, servers });
             }
-            Input::Stop => {
+            Input::Duty(wanted, asked) => {
+                let before = self.core.duty().state();
+                let done = self.core.on_duty(now, |duty| match wanted {
+                    OnDuty::Ask => Ok(()),
+                    OnDuty::Standby => duty.standby(now),
+                    OnDuty::Active => duty.active(),
+                });
+                let state = self.core.duty().state();
+                if state != before {
+                    self.duty_changed(state);
+                }
+                let _ = asked.send(done.map(|()| state));
+            }
+            Input::Stop { replaced } => {
                 eprintln!("steprelay: told to stop, {} set-ups are unanswered", self.core.unanswered());
                 self.stopping.get_or_insert(now);
-                for outbox in self.clients.values() {
-                    outbox.post(ToClient::Draining);
-                }
+                self.replaced = replaced;
+                self.core.on_duty(now, |duty| duty.stop(now, replaced));
+                self.duty_changed(State::Stopping);
             }
         }
     }
@@ -237,11 +279,33 @@
         }
     }
 
+    /// Tells the clients that have a word for it in their signalling.
+    fn duty_changed(&self, state: State) {
+        let message = match state {
+            State::Starting | State::Serving => {
+                eprintln!("steprelay: active, clients are welcome");
+                || ToClient::Pressure(0)
+            }
+            State::Standby => {
+                eprintln!("steprelay: standby, clients are sent away");
+                || ToClient::Draining
+            }
+            State::Stopping => || ToClient::Draining,
+        };
+        for outbox in self.clients.values() {
+            outbox.post(message());
+        }
+    }
+
     fn keep_links(&mut self) {
         let now = self.shared.clock.now();
         for (link, way) in self.links.due(now) {
             (self.dial)(link, way);
         }
+        let starting = self.core.duty().state() == State::Starting;
+        if starting && (self.links.are_settled() || now >= self.started + READY_WITHIN) {
+            self.core.on_duty(now, |duty| duty.ready());
+        }
         for found in self.links.watch(now, |server| self.core.stands_at(server)) {
             match found {
                 Watch::Test(link) => self.test(link),
@@ -315,6 +379,11 @@
             }
             Effect::Final { client, call, verdict } => self.tell(client, ToClient::Final { call, verdict }),
             Effect::Released { client, call, cause } => self.tell(client, ToClient::Released { call, cause }),
+            Effect::LetGo { client, inputs } => {
+                if let Some(outbox) = self.clients.get(&client) {
+                    outbox.post(ToClient::LetGo { inputs });
+                }
+            }
             Effect::Close { client } => {
                 if let Some(outbox) = self.clients.get(&client) {
                     outbox.cut();
--- /dev/null
+++ b/agent/src/ops/line.rs
@@ -0,0 +1,123 @@
+//! What a connection of the second address carries: one line, one answer.
+
+use steprelay_core::duty::State;
+
+use crate::ports::Snapshot;
+
+/// No command is longer.
+pub const LONGEST: usize = 64;
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Command {
+    /// Whether this process can serve.
+    Status,
+    /// The figures.
+    Stats,
+    /// Send clients away.
+    Standby,
+    /// Back to work.
+    Active,
+}
+
+const COMMANDS: [(&str, Command); 4] = [
+    ("status", Command::Status),
+    ("stats", Command::Stats),
+    ("standby", Command::Standby),
+    ("active", Command::Active),
+];
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum BadLine {
+    #[error("no command: status, stats, standby or active")]
+    Empty,
+    #[error("unknown command: status, stats, standby or active")]
+    Unknown,
+    #[error("not UTF-8")]
+    NotText,
+    #[error("the line is too long")]
+    TooLong,
+    #[error("the line has no end")]
+    NoEnd,
+}
+
+/// Looks for a command in what has come so far; `None` while its line is not whole. CR LF ends it too.
+pub fn read(bytes: &[u8]) -> Option<Result<Command, BadLine>> {
+    let line = match bytes.iter().position(|&byte| byte == b'\n') {
+        Some(end) if end <= LONGEST => &bytes[..end],
+        None if bytes.len() <= LONGEST => return None,
+        _ => return Some(Err(BadLine::TooLong)),
+    };
+    Some(command(line))
+}
+
+fn command(line: &[u8]) -> Result<Command, BadLine> {
+    let text = std::str::from_utf8(line).map_err(|_| BadLine::NotText)?.trim();
+    if text.is_empty() {
+        return Err(BadLine::Empty);
+    }
+    let known = COMMANDS.iter().find(|(name, _)| *name == text);
+    known.map(|(_, command)| *command).ok_or(BadLine::Unknown)
+}
+
+/// Says whether work is taken: yes in one state only.
+pub fn status(state: State) -> &'static str {
+    match state {
+        State::Starting => "-ERR starting\n",
+        State::Serving => "+OK serving\n",
+        State::Standby => "-ERR standby\n",
+        State::Stopping => "-ERR stopping\n",
+    }
+}
+
+/// The figures at one moment, a line each, and a line with a point. `classes` are the settings' names.
+pub fn stats(figures: &Snapshot, classes: &[String], dispatches: u64, reloads: (u64, u64)) -> String {
+    let mut text = String::from("+OK\n");
+    let mut put = |name: &str, value: u64| text.push_str(&format!("edge_lb.{name}={value}\n"));
+    for (name, counts) in classes.iter().zip(&figures.counts.classes) {
+        put(&format!("replies.{name}.success"), counts.success);
+        put(&format!("replies.{name}.overload"), counts.overload);
+        put(&format!("replies.{name}.error"), counts.error);
+    }
+    put("dispatches", dispatches);
+    put("concurrent", (figures.unanswered + figures.standing) as u64);
+    put("targets", figures.targets as u64);
+    put("targets_disabled", figures.targets_disabled as u64);
+    put("reloads.taken", reloads.0);
+    put("reloads.refused", reloads.1);
+    text.push_str(".\n");
+    text
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_line_is_the_same_however_it_ends_and_comes() {
+        for (line, command) in [
+            (&b"status\n"[..], Ok(Command::Status)),
+            (b"stats\r\n", Ok(Command::Stats)),
+            (b" standby \n", Ok(Command::Standby)),
+            (b"active\nstatus\n", Ok(Command::Active)),
+            (b"\n", Err(BadLine::Empty)),
+            (b"\r\n", Err(BadLine::Empty)),
+            (b"STATUS\n", Err(BadLine::Unknown)),
+            (b"status now\n", Err(BadLine::Unknown)),
+            (b"sta\xfftus\n", Err(BadLine::NotText)),
+        ] {
+            let end = line.iter().position(|&byte| byte == b'\n').expect("whole");
+            for part in 0..=end {
+                assert_eq!(read(&line[..part]), None, "{line:?} up to {part}");
+            }
+            assert_eq!(read(line), Some(command), "{line:?}");
+        }
+    }
+
+    #[test]
+    fn a_line_without_end_is_refused_at_the_longest() {
+        assert_eq!(read(&[b'x'; LONGEST]), None);
+        assert_eq!(read(&[b'x'; LONGEST + 1]), Some(Err(BadLine::TooLong)));
+        let long = [&[b' '; LONGEST + 1][..], b"status\n"].concat();
+        assert_eq!(read(&long), Some(Err(BadLine::TooLong)));
+    }
+}
--- a/agent/src/ports/conn.rs
+++ b/agent/src/ports/conn.rs
@@ -18,6 +18,11 @@
 /// What waits to be written weighs this much.
 pub trait Weight {
     fn weight(&self) -> usize;
+
+    /// Whether it is an attempt, which counts once it is written whole.
+    fn is_attempt(&self) -> bool {
+        false
+    }
 }
 
 pub struct Outbox<M> {
@@ -114,6 +119,7 @@
     buffer: Option<Buffer>,
     taken: usize,
     part_since: Option<Instant>,
+    in_part: Rc<Cell<bool>>,
 }
 
 impl<'a> Incoming<'a> {
@@ -123,7 +129,21 @@
         split: fn(&[u8]) -> Split,
         whole_within: Duration,
     ) -> Self {
-        Incoming { stream, pool, split, whole_within, buffer: None, taken: 0, part_since: None }
+        Incoming {
+            stream,
+            pool,
+            split,
+            whole_within,
+            buffer: None,
+            taken: 0,
+            part_since: None,
+            in_part: Rc::default(),
+        }
+    }
+
+    /// Whether part of a message has come and its end has not.
+    pub fn in_part(&self) -> Rc<Cell<bool>> {
+        self.in_part.clone()
     }
 
     /// The next whole message; `None` at the end of the stream. Messages that are longer than a buffer, or
@@ -146,6 +166,7 @@
                     self.part_since = None;
                 }
             }
+            self.in_part.set(self.buffer.is_some());
             match &self.buffer {
                 None => self.stream.readable().await?,
                 Some(_) => {
@@ -162,6 +183,7 @@
                 Err(error) => return Err(error),
             }
         };
+        self.in_part.set(false);
         self.taken = whole;
         self.part_since = None;
         Ok(self.buffer.as_ref().map(|buffer| &buffer.filled()[..whole]))
@@ -177,17 +199,18 @@
 }
 
 /// Writes what is posted until the owner lets go of the connection. A message that is too long for the
-/// protocol is left out, and `left_out` is told.
+/// protocol is left out, and `left_out` is told; `written` hears of attempts that have left whole.
 pub async fn write_posted<M: Weight>(
     stream: &TcpStream,
     pool: &Pool,
     inbox: &mut Inbox<M>,
     encode: impl Fn(&M, &mut Buffer) -> io::Result<()>,
     left_out: impl Fn(&M) -> io::Result<()>,
+    written: impl Fn(u64),
 ) -> io::Result<()> {
     while let Some(first) = inbox.next().await {
         let mut buffer = pool.take();
-        let mut weight = 0;
+        let (mut weight, mut attempts) = (0, 0);
         let mut next = Some(first);
         while let Some(message) = next {
             let mark = buffer.len();
@@ -199,14 +222,17 @@
                     break;
                 }
                 left_out(&message)?;
+            } else {
+                attempts += u64::from(message.is_attempt());
             }
             weight += message.weight();
             next = inbox.next_now();
         }
-        let written = write_all(stream, buffer.filled()).await;
+        let left = write_all(stream, buffer.filled()).await;
         pool.put(buffer);
         inbox.written(weight);
-        written?;
+        left?;
+        written(attempts);
     }
     Ok(())
 }
--- a/agent/src/ports/mod.rs
+++ b/agent/src/ports/mod.rs
@@ -10,6 +10,7 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 
+use steprelay_core::duty::{self, IsStopping};
 use steprelay_core::{
     ClientId, Counts, LinkLoss, Peer, ReleaseCause, Request, ServerCounts, SetUp, Source, Verdict,
 };
@@ -43,6 +44,12 @@
     Draining,
     /// How pressed the servers are, 0 to 3, for clients that are told.
     Pressure(u8),
+    /// This call agent takes no more work: a test of it has not passed.
+    NotPassed(CallId),
+    /// The connection is to end if it has brought no more than so many inputs.
+    LetGo {
+        inputs: u64,
+    },
 }
 
 /// Towards a server.
@@ -75,6 +82,10 @@
             _ => SMALL,
         }
     }
+
+    fn is_attempt(&self) -> bool {
+        matches!(self, ToServer::SetUp(_))
+    }
 }
 
 /// One of a server's connections: the count tells it from those that it had before.
@@ -106,6 +117,12 @@
         client: ClientId,
         request: Request,
     },
+    /// A set-up that no request can be made of.
+    Unfit {
+        client: ClientId,
+        call: CallId,
+        class: Option<usize>,
+    },
     ClientEnded {
         client: ClientId,
         call: CallId,
@@ -162,7 +179,36 @@
     },
     /// The figures are asked for.
     Snapshot(oneshot::Sender<Snapshot>),
-    Stop,
+    /// Operators ask whether work is taken, or change it.
+    Duty(OnDuty, oneshot::Sender<Result<duty::State, IsStopping>>),
+    /// `replaced`: another process takes the new connections.
+    Stop {
+        replaced: bool,
+    },
+}
+
+/// What operators want of the sending away of clients.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum OnDuty {
+    Ask,
+    Standby,
+    Active,
+}
+
+/// What is counted outside the core: by writers of connections, and by who reads the configuration again.
+#[derive(Default)]
+pub struct Tallies {
+    /// Set-ups written whole to check servers.
+    pub dispatches: Cell<u64>,
+    /// Configurations that SIGHUP had read again.
+    pub reloads_taken: Cell<u64>,
+    pub reloads_refused: Cell<u64>,
+}
+
+impl Tallies {
+    pub fn add(count: &Cell<u64>, more: u64) {
+        count.set(count.get() + more);
+    }
 }
 
 /// What every task of a connection needs.
@@ -178,6 +224,7 @@
     pub calls: Rc<Cell<u64>>,
     /// Messages that are on their way through a front and not written yet.
     pub unwritten: Rc<Cell<usize>>,
+    pub tallies: Rc<Tallies>,
 }
 
 /// Counts as unwritten for as long as it is kept.
@@ -210,6 +257,9 @@
     pub counts: Counts,
     pub unanswered: usize,
     pub standing: usize,
+    /// The servers in the list, and those of them that are avoided.
+    pub targets: usize,
+    pub targets_disabled: usize,
     /// Each server with the bound of its image, if it has one.
     pub servers: Vec<(Entry, ServerCounts, Option<f64>)>,
 }
--- a/agent/src/serve.rs
+++ b/agent/src/serve.rs
@@ -20,9 +20,10 @@
 use crate::front::m3ua::{self, KeptError, M3uaConfig};
 use crate::front::platform;
 use crate::net::owner::Owner;
+use crate::ops;
 use crate::ports::clock::Clock;
 use crate::ports::pool::Pool;
-use crate::ports::{Input, LinkId, Shared, Way};
+use crate::ports::{Input, LinkId, Shared, Tallies, Way};
 use crate::snmp::{self, SnmpConfig};
 
 /// Inputs that may wait for the owner.
@@ -61,13 +62,14 @@
         unreadable: Rc::default(),
         calls,
         unwritten: Rc::default(),
+        tallies: Rc::default(),
     };
     let m3ua = m3ua.map(|named| m3ua::start(named, shared.clone(), &config.name)).transpose()?;
     let mut terminate = signal(SignalKind::terminate())?;
     let stop = shared.inputs.clone();
     spawn_local(async move {
         if terminate.recv().await.is_some() {
-            let _ = stop.send(Input::Stop).await;
+            let _ = stop.send(Input::Stop { replaced: false }).await;
         }
     });
     let hangup = signal(SignalKind::hangup())?;
@@ -89,7 +91,12 @@
     owner.listed(config.known.source, config.known.kind, config.known.servers);
     let (board, followed) = watch::channel(config.board);
     spawn_local(board::follow(followed, config.known.last, shared.clone()));
-    spawn_local(reread(hangup, file, board));
+    spawn_local(reread(hangup, file, board, shared.tallies.clone()));
+    if let Some(address) = config.ops {
+        let listener = TcpListener::bind(address).await?;
+        eprintln!("steprelay: answering operators on {}", listener.local_addr()?);
+        spawn_local(ops::serve(listener, shared.clone()));
+    }
     let figures = m3ua.as_ref().map(|m3ua| m3ua.ask_figures());
     if let Some(m3ua) = m3ua {
         let listener = TcpListener::bind(m3ua.config.listen).await?;
@@ -111,15 +118,22 @@
 
 /// Reads the configuration again each time SIGHUP comes. The notice board may move while calls go on; what
 /// else differs is for the next start.
-async fn reread(mut hangup: Signal, file: Option<PathBuf>, board: watch::Sender<Option<SocketAddr>>) {
+async fn reread(
+    mut hangup: Signal,
+    file: Option<PathBuf>,
+    board: watch::Sender<Option<SocketAddr>>,
+    tallies: Rc<Tallies>,
+) {
     while hangup.recv().await.is_some() {
         match Config::load(file.as_deref()) {
             Ok(config) => {
                 let named = config.board.map_or_else(|| "none".to_string(), |address| address.to_string());
+                Tallies::add(&tallies.reloads_taken, 1);
                 eprintln!("steprelay: configuration read again, the notice board is {named}");
                 board.send_if_modified(|board| std::mem::replace(board, config.board) != config.board);
             }
             Err(error) => {
+                Tallies::add(&tallies.reloads_refused, 1);
                 eprintln!("steprelay: configuration not taken, the one before stays: {error}");
             }
         }
--- a/agent/tests/common/mod.rs
+++ b/agent/tests/common/mod.rs
@@ -27,6 +27,8 @@
     pub m3ua: Option<String>,
     pub snmp: Option<String>,
     pub settings: Value,
+    /// The second address, for operators.
+    pub ops: Option<String>,
     /// The limit on descriptors.
     pub sockets: usize,
 }
@@ -49,14 +51,14 @@
             "specifics": {"clearWaitMs": 200, "widths": [1, 1], "allowedPools": [[0, 1, 2, 3], [0, 1, 2, 3]]},
             "rules": {"stopSendingWithinMs": 500},
         });
-        Setting { servers, board: None, m3ua: None, snmp: None, settings, sockets: 1024 }
+        Setting { servers, board: None, m3ua: None, snmp: None, settings, ops: None, sockets: 1024 }
     }
 
     /// The configuration's file.
     pub fn file(&self, listen: &str) -> PathBuf {
         let targets: Vec<_> = self.servers.iter().map(|(id, address)| target(*id, *address, "up")).collect();
         let config = json!({
-            "name": "n0", "listen": listen, "seed": "8c1f30d27a5be964", "board": self.board,
+            "name": "n0", "listen": listen, "ops": self.ops, "seed": "8c1f30d27a5be964", "board": self.board,
             "limits": {"cores": 1.0, "memory_mb": 192, "sockets": self.sockets},
             "known": {"rev": 1, "notices": [{"rev": 1, "pool": {"rev": 1, "all": true, "targets": targets}}]},
             "settings": self.settings,
@@ -71,7 +73,7 @@
     pub fn start_at(&self, listen: &str) -> Agent {
         let config = self.file(listen);
         let mut command = Command::new(env!("CARGO_BIN_EXE_steprelay"));
-        command.arg("serve").arg("--config").arg(&config);
+        command.arg("serve").arg("--config").arg(&config).env_remove("LB_OPS").env_remove("LB_SOCKET_FD");
         if let Some(m3ua) = &self.m3ua {
             command.arg("--m3ua").arg(file("m3ua.toml", m3ua));
         }
@@ -112,6 +114,11 @@
         }
     }
 
+    /// Where it answers operators; to be asked once, before anything else of its log.
+    pub fn ops(&mut self) -> SocketAddr {
+        self.logged("answering operators on ").parse().expect("an address")
+    }
+
     pub fn descriptors(&self) -> usize {
         std::fs::read_dir(format!("/proc/{}/fd", self.child.id())).expect("it runs").count()
     }
@@ -226,6 +233,23 @@
     }
 }
 
+/// What operators are answered to some bytes.
+pub fn ask(ops: SocketAddr, bytes: &[u8]) -> String {
+    let mut stream = TcpStream::connect(ops).expect("it listens");
+    stream.set_read_timeout(Some(PATIENCE)).expect("settable");
+    stream.write_all(bytes).expect("it reads");
+    let mut text = String::new();
+    stream.read_to_string(&mut text).expect("text");
+    text
+}
+
+/// One of the figures that operators are told.
+pub fn figure(ops: SocketAddr, name: &str) -> u64 {
+    let text = ask(ops, b"stats\n");
+    let line = text.lines().find_map(|line| line.strip_prefix(&format!("edge_lb.{name}=")));
+    line.unwrap_or_else(|| panic!("no {name} in {text}")).parse().expect("a number")
+}
+
 pub fn hex(call: u64) -> String {
     format!("{call:016x}")
 }
--- a/core/src/book.rs
+++ b/core/src/book.rs
@@ -34,6 +34,17 @@
     ];
 }
 
+/// Final answers to set-ups of one class. What its caller left before an answer is in none of them.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct ClassCounts {
+    /// Calls that came to stand.
+    pub success: u64,
+    /// Refused: trying again is harmless.
+    pub overload: u64,
+    /// Failed, or not to be made sense of.
+    pub error: u64,
+}
+
 #[derive(Clone, Debug, Default)]
 pub struct Counts {
     pub offered: u64,
@@ -53,6 +64,8 @@
     pub answered_late: u64,
     /// Connections of clients that were ended for the sake of others.
     pub let_go: u64,
+    /// By class, in the order of the settings.
+    pub classes: Vec<ClassCounts>,
     breaches: [u64; Breach::ALL.len()],
 }
 
@@ -86,6 +99,17 @@
 }
 
 impl Book {
+    pub fn new(classes: usize) -> Self {
+        let counts = Counts { classes: vec![ClassCounts::default(); classes], ..Counts::default() };
+        Book { counts, ..Book::default() }
+    }
+
+    fn class(&mut self, class: Option<usize>, count: impl FnOnce(&mut ClassCounts) -> &mut u64) {
+        if let Some(counts) = class.and_then(|class| self.counts.classes.get_mut(class)) {
+            *count(counts) += 1;
+        }
+    }
+
     pub fn server(&self, server: ServerId) -> ServerCounts {
         self.servers.get(&server).copied().unwrap_or_default()
     }
@@ -110,8 +134,9 @@
         self.servers.entry(server).or_default().attempts += 1;
     }
 
-    pub fn stood(&mut self, server: ServerId) {
+    pub fn stood(&mut self, server: ServerId, class: usize) {
         self.counts.stood += 1;
+        self.class(Some(class), |counts| &mut counts.success);
         self.servers.entry(server).or_default().stood += 1;
     }
 
@@ -134,14 +159,30 @@
         self.note_over(call, Over::Answered);
     }
 
-    pub fn verdict(&mut self, call: CallId, verdict: Verdict) {
+    /// A set-up that no request could be made of was answered; its id may be any.
+    pub fn misread(&mut self, class: Option<usize>) {
+        self.counts.invalid += 1;
+        self.class(class, |counts| &mut counts.error);
+    }
+
+    /// A final answer was given to a call that does not stand.
+    pub fn verdict(&mut self, call: CallId, class: Option<usize>, verdict: Verdict) {
         if self.over(call) == Some(Over::Answered) {
             self.breach(Breach::AnsweredTwice);
         }
         match verdict {
-            Verdict::Refused { .. } => self.counts.refused += 1,
-            Verdict::Failed => self.counts.failed += 1,
-            Verdict::Invalid => self.counts.invalid += 1,
+            Verdict::Refused { .. } => {
+                self.counts.refused += 1;
+                self.class(class, |counts| &mut counts.overload);
+            }
+            Verdict::Failed => {
+                self.counts.failed += 1;
+                self.class(class, |counts| &mut counts.error);
+            }
+            Verdict::Invalid => {
+                self.counts.invalid += 1;
+                self.class(class, |counts| &mut counts.error);
+            }
         }
         self.note_over(call, Over::Answered);
     }
--- a/core/src/clients.rs
+++ b/core/src/clients.rs
@@ -9,6 +9,8 @@
 const SILENT: Micros = 2_000_000;
 /// One with no call on it, after this: callers close theirs after 4 s.
 const IDLE: Micros = 5_000_000;
+/// Clients that are sent away have this long for the first word on a new connection.
+const FIRST: Micros = 200_000;
 
 /// Whoever calls are taken from and answered to: a caller's connection, or a peer of the M3UA front.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -42,6 +44,8 @@
 struct Client {
     peer: Option<Peer>,
     opened: Micros,
+    /// What came from it, whether it made sense or not.
+    inputs: u64,
     /// When something that makes sense last came from it.
     heard: Option<Micros>,
     /// When it last made a call that was taken in, and whether any has stood.
@@ -72,14 +76,13 @@
     /// Takes in a connection; returns the one to let go of where there are too many.
     pub fn opened(&mut self, id: ClientId, peer: Option<Peer>, now: Micros) -> Option<ClientId> {
         let (heard, called, proven) = (None, None, id.is_bound());
-        let client = Client { peer, opened: now, heard, called, proven, open: 0, standing: 0 };
+        let client = Client { peer, opened: now, inputs: 0, heard, called, proven, open: 0, standing: 0 };
         self.clients.insert(id, client);
         let of_peer = |client: &Client| peer.is_some() && client.peer == peer;
         if self.clients.values().filter(|client| of_peer(client)).count() > self.bounds.connections_of_one {
             return Some(self.spare(of_peer, id));
         }
-        let all = self.clients.keys().filter(|id| !id.is_bound()).count();
-        (all > self.bounds.connections).then(|| self.spare(|_| true, id))
+        (self.connections() > self.bounds.connections).then(|| self.spare(|_| true, id))
     }
 
     /// The connection that is missed least, of those without an open set-up; the latest as the last choice.
@@ -115,7 +118,36 @@
     }
 
     pub fn heard(&mut self, client: ClientId, now: Micros) {
-        self.change(client, |client| client.heard = Some(now));
+        self.change(client, |client| {
+            client.heard = Some(now);
+            client.inputs += 1;
+        });
+    }
+
+    /// Something that makes no sense came from it.
+    pub fn unfit(&mut self, client: ClientId) {
+        self.change(client, |client| client.inputs += 1);
+    }
+
+    /// The connection that is kept for releases when clients are sent away: the one with most calls standing.
+    pub fn last_to_go(&self) -> Option<ClientId> {
+        let called = self.clients.iter().filter(|(id, client)| !id.is_bound() && client.called.is_some());
+        called.max_by_key(|(id, client)| (client.standing, client.called, **id)).map(|(id, _)| *id)
+    }
+
+    /// Connections of callers.
+    pub fn connections(&self) -> usize {
+        self.clients.keys().filter(|id| !id.is_bound()).count()
+    }
+
+    /// Those without an open set-up, with how many inputs each has brought; not one that was just opened, on
+    /// which the first is on its way.
+    pub fn quiet(&self, now: Micros) -> impl Iterator<Item = (ClientId, u64)> + '_ {
+        let quiet = self.clients.iter().filter(move |(id, client)| {
+            let began = client.inputs > 0 || now >= client.opened + FIRST;
+            !id.is_bound() && client.open == 0 && began
+        });
+        quiet.map(|(id, client)| (*id, client.inputs))
     }
 
     pub fn called(&mut self, client: ClientId, now: Micros) {
--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -9,6 +9,7 @@
 mod bound;
 mod cause;
 mod clients;
+pub mod duty;
 mod relay;
 mod route;
 mod send;
@@ -25,11 +26,12 @@
 
 use admit::Admission;
 use book::Book;
-pub use book::{Breach, Counts, ServerCounts};
+pub use book::{Breach, ClassCounts, Counts, ServerCounts};
 pub use bound::BoundCall;
 pub use cause::ReleaseCause;
 use clients::Clients;
 pub use clients::{Bounds, ClientId, Peer};
+use duty::Duty;
 use relay::Relay;
 use route::Route;
 use send::Pending;
@@ -96,6 +98,12 @@
     Close {
         client: ClientId,
     },
+    /// The client's connection is ended if nothing has come on it besides so many inputs: nothing waits on it
+    /// for an answer then. Otherwise it is asked for again.
+    LetGo {
+        client: ClientId,
+        inputs: u64,
+    },
     Log(String),
 }
 
@@ -135,6 +143,8 @@
 
 /// How often connections that only hold a place are looked for.
 const SWEEP: Micros = 250_000;
+/// How often quiet connections are looked for while clients are sent away.
+const LET_GO: Micros = 20_000;
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 enum Wake {
@@ -148,6 +158,8 @@
     Owed(CallId),
     /// Connections that only hold a place are looked for.
     Sweep,
+    /// Clients are sent away.
+    LetGo,
 }
 
 pub struct Core {
@@ -158,6 +170,9 @@
     pending: BTreeMap<CallId, Pending>,
     relay: Relay,
     book: Book,
+    duty: Duty,
+    /// A look for quiet connections is due.
+    letting_go: bool,
     wakes: BinaryHeap<Reverse<(Micros, Wake)>>,
     actions: VecDeque<Action>,
     effects: Vec<Effect>,
@@ -166,6 +181,7 @@
 impl Core {
     pub fn new(site: Site, bounds: Bounds, seed: u64, now: Micros) -> Self {
         let route = Route::new(&site, seed, now);
+        let site_classes = site.class_names.len();
         Core {
             admission: Admission::new(&site, bounds.bytes),
             route,
@@ -173,7 +189,9 @@
             clients: Clients::new(bounds),
             pending: BTreeMap::new(),
             relay: Relay::default(),
-            book: Book::default(),
+            book: Book::new(site_classes),
+            duty: Duty::default(),
+            letting_go: false,
             wakes: BinaryHeap::from([Reverse((now + SWEEP, Wake::Sweep))]),
             actions: VecDeque::new(),
             effects: Vec::new(),
@@ -224,10 +242,57 @@
                     }
                     self.wakes.push(Reverse((now + SWEEP, Wake::Sweep)));
                 }
+                Wake::LetGo => {
+                    self.letting_go = false;
+                    self.let_quiet_go(now);
+                }
             }
         }
     }
 
+    pub fn duty(&self) -> &Duty {
+        &self.duty
+    }
+
+    /// Changes whether work is taken, and follows it up.
+    pub fn on_duty<R>(&mut self, now: Micros, change: impl FnOnce(&mut Duty) -> R) -> R {
+        let said = change(&mut self.duty);
+        self.let_quiet_go(now);
+        said
+    }
+
+    /// While clients are sent away, has the connections let go of on which nothing waits: neither a set-up
+    /// for its answer nor a release for its confirmation.
+    fn let_quiet_go(&mut self, now: Micros) {
+        let Some(from) = self.duty.lets_go_from() else { return };
+        if now >= from {
+            let waits = self.relay.unconfirmed(now);
+            // Releases of what stands need a connection that takes them: the one that made most of the calls
+            // stays for them.
+            let stand = self.relay.standing() + self.relay.owed() > 0;
+            let stays = self.clients.last_to_go().filter(|_| stand);
+            for (client, inputs) in self.clients.quiet(now) {
+                if !waits.contains(&client) && Some(client) != stays {
+                    self.effects.push(Effect::LetGo { client, inputs });
+                }
+            }
+        }
+        if !self.letting_go {
+            self.letting_go = true;
+            self.wakes.push(Reverse((from.max(now + LET_GO), Wake::LetGo)));
+        }
+    }
+
+    /// Connections of callers, and releases that none has confirmed.
+    pub fn ties(&self) -> (usize, usize) {
+        (self.clients.connections(), self.relay.owed())
+    }
+
+    /// The servers in the list, and those of them that the decisions avoid.
+    pub fn targets(&self, now: Micros) -> (usize, usize) {
+        self.route.targets(now)
+    }
+
     /// Ends a client's connection for the sake of the others.
     fn let_go(&mut self, client: ClientId) {
         self.book.counts.let_go += 1;
--- a/core/src/relay.rs
+++ b/core/src/relay.rs
@@ -56,6 +56,17 @@
         self.standing.len()
     }
 
+    /// Releases that no caller has confirmed.
+    pub fn owed(&self) -> usize {
+        self.owed.len()
+    }
+
+    /// Connections that were just given a release, and may still confirm it.
+    pub fn unconfirmed(&self, now: Micros) -> BTreeSet<ClientId> {
+        let given = self.owed.values().filter(|owed| owed.again > now);
+        given.filter_map(|owed| owed.given.last().copied()).collect()
+    }
+
     /// The client whose call stands.
     pub fn owner(&self, call: CallId) -> Option<ClientId> {
         Some(self.standing.get(&call)?.client)
@@ -141,7 +152,7 @@
         let Some(pending) = self.forget(call) else { return };
         let client = pending.client;
         self.relay.standing.insert(call, Standing { client, attempt, since: now });
-        self.book.stood(server);
+        self.book.stood(server, pending.class);
         self.clients.stood(client);
         self.effects.push(Effect::Answer { client, call, description });
         let lag = now - attempt.sent;
@@ -275,7 +286,7 @@
         if now > pending.answer_by + super::take_in::ANSWER_MARGIN {
             self.book.counts.answered_late += 1;
         }
-        self.book.verdict(call, verdict);
+        self.book.verdict(call, Some(pending.class), verdict);
         self.effects.push(Effect::Final { client: pending.client, call, verdict });
     }
 }
--- a/core/src/route.rs
+++ b/core/src/route.rs
@@ -43,6 +43,14 @@
         self.entries.get(&server).is_some_and(|(_, entry)| entry.state == Readiness::Ready)
     }
 
+    /// The servers in the list, drained ones too, and those of them that the decisions avoid.
+    pub fn targets(&self, now: Micros) -> (usize, usize) {
+        let listed = self.entries().filter(|entry| entry.state != Readiness::Gone);
+        listed.fold((0, 0), |(listed, avoided), entry| {
+            (listed + 1, avoided + usize::from(self.controller.avoids(now, entry.server)))
+        })
+    }
+
     pub fn image(&self, now: Micros, server: ServerId) -> Option<f64> {
         self.controller.bound(now, server)
     }
--- a/core/src/send.rs
+++ b/core/src/send.rs
@@ -53,6 +53,7 @@
         self.clients.heard(client, now);
         self.book.counts.offered += 1;
         let unfit = match self.take_in(now, &request) {
+            Ok(_) if !self.duty.takes_set_ups(now) => Verdict::Refused { wait: None },
             Ok(call) if self.admission.admit(&request, self.clients.open(client)) => {
                 let pending = Pending {
                     client,
@@ -78,10 +79,18 @@
                 return self.repeated(client, request.call);
             }
         };
-        self.book.verdict(request.call, unfit);
+        self.book.verdict(request.call, Some(request.class), unfit);
         self.effects.push(Effect::Final { client, call: request.call, verdict: unfit });
     }
 
+    /// A client's set-up of which its front can make no request. `class` is there where it names one.
+    pub fn offer_unfit(&mut self, client: ClientId, call: CallId, class: Option<usize>) {
+        self.clients.unfit(client);
+        self.book.counts.offered += 1;
+        self.book.misread(class);
+        self.effects.push(Effect::Final { client, call, verdict: Verdict::Invalid });
+    }
+
     /// A client makes a call of an id that is taken. On the connection that has the call, any answer to the
     /// second would be taken for one to the first, so that only its end tells; the same where nothing else is
     /// lost with it.
--- a/core/src/tests.rs
+++ b/core/src/tests.rs
@@ -270,6 +270,112 @@
     assert_eq!(closed, [close(1)]);
 }
 
+#[test]
+fn clients_that_are_sent_away_go_quiet_first_and_the_last_stays_for_releases() {
+    let mut stand = Stand::new();
+    let other = ClientId(2);
+    stand.core.client_opened(stand.now, other, None);
+    stand.offer(8, 3_000 * MS);
+    stand.answer(ONE, 8);
+    stand.offer(9, 3_000 * MS);
+    let now = stand.now;
+    stand.core.on_duty(now, |duty| duty.standby(now)).expect("it does not stop");
+    let let_go = |done: Vec<(Micros, Effect)>| {
+        let of = |(_, effect)| match effect {
+            Effect::LetGo { client, inputs } => Some((client, inputs)),
+            _ => None,
+        };
+        done.into_iter().filter_map(of).collect::<Vec<_>>()
+    };
+    assert_eq!(let_go(stand.pass_all(390 * MS)), [], "the front still opens connections");
+    assert!(set_up_at(&stand.offer(10, 3_000 * MS)).is_some(), "who comes meanwhile is served");
+    assert_eq!(let_go(stand.pass_all(20 * MS)), [(other, 0)], "the quiet one");
+    stand.core.client_closed(stand.now, other);
+    stand.answer(ONE, 9);
+    stand.answer(ONE, 10);
+    assert_eq!(let_go(stand.pass_all(1_500 * MS)), [], "releases may come, and need a connection");
+    let refused =
+        Effect::Final { client: CALLER, call: CallId(11), verdict: Verdict::Refused { wait: None } };
+    assert_eq!(stand.offer(11, 3_000 * MS), [refused], "else the last would never fall quiet");
+    for call in [8, 9, 10] {
+        assert_eq!(stand.end(ONE, call, ReleaseCause::NORMAL), released(call, ReleaseCause::NORMAL));
+    }
+    assert_eq!(let_go(stand.pass_all(100 * MS)), [], "the confirmations are on their way");
+    for call in [8, 9, 10] {
+        stand.core.release_heard(stand.now, CALLER, CallId(call));
+    }
+    assert_eq!(let_go(stand.pass_all(20 * MS)), [(CALLER, 7)]);
+    stand.core.on_duty(stand.now, |duty| duty.active()).expect("it does not stop");
+    assert_eq!(let_go(stand.pass_all(1_000 * MS)), [], "nobody is sent away any more");
+    assert!(set_up_at(&stand.offer(12, 3_000 * MS)).is_some());
+}
+
+/// A generator of its own, so that the lives below come again in the same order.
+fn random(state: &mut u64) -> u64 {
+    *state ^= *state << 13;
+    *state ^= *state >> 7;
+    *state ^= *state << 17;
+    *state >> 33
+}
+
+#[test]
+fn every_call_taken_is_counted_once_by_its_outcome() {
+    let mut seed = 20_261_201;
+    for life in 0..200 {
+        let mut stand = Stand::new();
+        // What the caller saw, and nothing else, says what the counts must be.
+        let (mut open, mut offered) = (Vec::new(), 0u64);
+        let (mut stood, mut refused, mut failed, mut left) = (0u64, 0u64, 0u64, 0u64);
+        for step in 0..60 {
+            let (call, what) = (life * 1_000 + step, random(&mut seed) % 7);
+            let server = if random(&mut seed).is_multiple_of(2) { ONE } else { TWO };
+            let about = random(&mut seed) as usize;
+            let one = (!open.is_empty()).then(|| open[about % open.len()]);
+            let mut effects = match (what, one) {
+                (0..=2, _) => {
+                    offered += 1;
+                    open.push(call);
+                    stand.offer(call, 1_000 * MS)
+                }
+                (3, Some(call)) => stand.answer(server, call),
+                (4, Some(call)) => stand.end(server, call, ReleaseCause([34, 17, 41][about % 3])),
+                (5, Some(call)) => {
+                    stand.core.client_ended(stand.now, CALLER, CallId(call), ReleaseCause::NORMAL);
+                    left += 1;
+                    open.retain(|other| *other != call);
+                    stand.core.take_effects()
+                }
+                _ => Vec::new(),
+            };
+            effects.extend(stand.pass_all(20 * MS).into_iter().map(|(_, effect)| effect));
+            for effect in effects {
+                let (call, count) = match effect {
+                    Effect::Answer { call, .. } => (call, &mut stood),
+                    Effect::Final { call, verdict: Verdict::Refused { .. }, .. } => (call, &mut refused),
+                    Effect::Final { call, .. } => (call, &mut failed),
+                    _ => continue,
+                };
+                *count += 1;
+                open.retain(|other| *other != call.0);
+            }
+            let seen = ClassCounts { success: stood, overload: refused, error: failed };
+            assert_eq!(stand.core.counts().classes, [seen], "life {life}, step {step}");
+            assert_eq!(stand.core.unanswered(), open.len(), "life {life}, step {step}");
+            assert_eq!(offered, stood + refused + failed + left + open.len() as u64);
+        }
+    }
+}
+
+#[test]
+fn servers_that_are_avoided_are_told() {
+    let mut stand = Stand::new();
+    assert_eq!(stand.core.targets(stand.now), (2, 0));
+    stand.list(&[(TWO, Readiness::Draining)]);
+    assert_eq!(stand.core.targets(stand.now), (2, 1), "it is in the list, and gets nothing");
+    stand.list(&[(TWO, Readiness::Gone)]);
+    assert_eq!(stand.core.targets(stand.now), (1, 0));
+}
+
 #[test]
 fn a_second_call_of_an_open_id_is_nobodys_answer() {
     let mut stand = Stand::new();
--- a/src/controller.rs
+++ b/src/controller.rs
@@ -296,6 +296,11 @@
         Some(self.servers.get(&server)?.image(now)?.bound)
     }
 
+    /// Whether no set-up goes to a server now: it is not ready, or it lately failed some.
+    pub fn avoids(&self, now: Micros, server: ServerId) -> bool {
+        self.servers.get(&server).is_none_or(|server| !server.ready || server.shunned_until > now)
+    }
+
     fn decide(&mut self, now: Micros, event: Event, actions: &mut Vec<Action>) {
         if !self.ticking {
             self.ticking = true;
