Inherit the callers' socket, and leave it to the new process on SIGTERM

Change: LB_SOCKET_FD names the socket; on SIGTERM the old process stops accepting first, lets go of callers as they fall quiet and leaves. Nothing is handed over.

--- a/agent/src/config.rs
+++ b/agent/src/config.rs
@@ -1,7 +1,7 @@
 //! What a call agent is told at its start.
 
 use std::collections::BTreeMap;
-use std::net::SocketAddr;
+use std::net::{SocketAddr, TcpListener};
 use std::path::{Path, PathBuf};
 
 use serde::de::DeserializeOwned;
@@ -11,6 +11,7 @@
 use steprelay_settings::Site;
 
 use crate::board;
+use crate::inherited::{self, InheritedError};
 use crate::ops;
 use crate::ports::Way;
 
@@ -22,6 +23,8 @@
     Unreadable { path: PathBuf, error: std::io::Error },
     #[error("{}: {error}", path.display())]
     NotJson { path: PathBuf, error: serde_json::Error },
+    #[error("LB_SOCKET_FD: {0}")]
+    Inherited(#[from] InheritedError),
     #[error("{field}: {why}")]
     Wrong { field: &'static str, why: String },
 }
@@ -47,6 +50,8 @@
 pub struct Config {
     pub name: String,
     pub listen: SocketAddr,
+    /// The socket that listens there, where the platform holds it and another process may have it too.
+    pub inherited: Option<TcpListener>,
     /// Where operators ask, if anywhere.
     pub ops: Option<SocketAddr>,
     pub seed: u64,
@@ -145,7 +150,14 @@
             address("LB_OPS", named)?;
         }
         raw.ops = named.or(raw.ops);
-        Self::from_raw(raw)
+        let mut config = Self::from_raw(raw)?;
+        if let Ok(number) = std::env::var("LB_SOCKET_FD") {
+            config.inherited = Some(inherited::listener(&number, config.listen)?);
+            // Two processes of an upgrade share the descriptors.
+            let bounds = &mut config.bounds;
+            bounds.connections = (bounds.connections / 2).max(1);
+        }
+        Ok(config)
     }
 
     fn from_raw(raw: RawConfig) -> Result<Self, ConfigError> {
@@ -164,6 +176,7 @@
         Ok(Config {
             name: raw.name,
             listen: address("listen", &raw.listen)?,
+            inherited: None,
             ops,
             seed,
             board: raw.board.as_deref().map(|text| address("board", text)).transpose()?,
--- a/agent/src/main.rs
+++ b/agent/src/main.rs
@@ -5,6 +5,7 @@
 mod config;
 mod conformance;
 mod front;
+mod inherited;
 mod net;
 mod ops;
 mod ports;
--- a/agent/src/net/owner.rs
+++ b/agent/src/net/owner.rs
@@ -133,8 +133,8 @@
         );
     }
 
-    /// Whether it was told to stop and nothing is left to do. One that was replaced stays for callers that
-    /// keep their connections, and for releases that none of them has confirmed.
+    /// Whether it was told to stop and nothing is left to do. One that was replaced stays while callers keep
+    /// their connections.
     fn is_done(&self, now: Micros) -> bool {
         let Some(since) = self.stopping else { return false };
         if self.core.unanswered() > 0 {
@@ -143,7 +143,7 @@
         if !self.replaced {
             return now >= since + STILL_COMING;
         }
-        now >= since + REPLACED_STAYS && self.core.ties() == (0, 0)
+        now >= since + REPLACED_STAYS && self.core.connections() == 0
     }
 
     async fn flush(&self) {
--- a/agent/src/serve.rs
+++ b/agent/src/serve.rs
@@ -67,13 +67,23 @@
     let m3ua = m3ua.map(|named| m3ua::start(named, shared.clone(), &config.name)).transpose()?;
     let mut terminate = signal(SignalKind::terminate())?;
     let stop = shared.inputs.clone();
+    let (taking, takes) = watch::channel(true);
+    // Where the socket is inherited, SIGTERM comes when another process has it too.
+    let replaced = config.inherited.is_some();
     spawn_local(async move {
         if terminate.recv().await.is_some() {
-            let _ = stop.send(Input::Stop { replaced: false }).await;
+            // Before anything else: what still waits in its queue is for the other process.
+            taking.send_replace(!replaced);
+            let _ = stop.send(Input::Stop { replaced }).await;
+            // Other listeners than that one are not handed on, and go on until the end.
+            std::future::pending::<()>().await;
         }
     });
     let hangup = signal(SignalKind::hangup())?;
-    let listener = TcpListener::bind(config.listen).await?;
+    let listener = match config.inherited {
+        Some(inherited) => TcpListener::from_std(inherited)?,
+        None => TcpListener::bind(config.listen).await?,
+    };
     eprintln!("steprelay: serving on {}", listener.local_addr()?);
     let core = Core::new((*site).clone(), config.bounds, config.seed, clock.now());
     let (dialling, known) = (shared.clone(), m3ua.clone());
@@ -103,7 +113,7 @@
         eprintln!("steprelay: serving M3UA on {}", listener.local_addr()?);
         owner.take(m3ua.listed());
         let serve = move |stream, number| m3ua::serve(stream, number, m3ua.clone());
-        spawn_local(accept(listener, MOST_M3UA, serve));
+        spawn_local(accept(listener, MOST_M3UA, watch::channel(true).1, serve));
     }
     if let Some(snmp) = snmp {
         let socket = UdpSocket::bind(snmp.listen).await?;
@@ -111,7 +121,7 @@
         spawn_local(snmp::serve(socket, snmp, shared.clone(), figures));
     }
     let serve = move |stream, number| platform::clients::serve(stream, number, shared.clone());
-    spawn_local(accept(listener, config.bounds.connections + CLOSING, serve));
+    spawn_local(accept(listener, config.bounds.connections + CLOSING, takes, serve));
     owner.run(queue).await;
     Ok(())
 }
@@ -140,29 +150,39 @@
     }
 }
 
-/// Takes connections, as many at once as the descriptors allow. The others wait in the machine's queue.
-async fn accept<S, F>(listener: TcpListener, most: usize, serve: S)
+/// Takes connections until `takes` turns false, as many at once as the descriptors allow. The others wait in
+/// the machine's queue.
+async fn accept<S, F>(listener: TcpListener, most: usize, takes: watch::Receiver<bool>, serve: S)
 where
     S: Fn(TcpStream, u64) -> F,
     F: Future<Output = ()> + 'static,
 {
     let places = Arc::new(Semaphore::new(most.max(1)));
-    for number in 1.. {
-        let Ok(place) = Arc::clone(&places).acquire_owned().await else { return };
-        let stream = loop {
-            match listener.accept().await {
-                Ok((stream, _)) => break stream,
-                Err(error) => {
-                    // Out of descriptors, most often: it passes when connections close.
-                    eprintln!("steprelay: cannot take a connection: {error}");
-                    sleep(Duration::from_millis(50)).await;
+    let mut takes = takes;
+    let over = async { takes.wait_for(|takes| !takes).await.is_ok() };
+    let taking = async {
+        for number in 1.. {
+            let Ok(place) = Arc::clone(&places).acquire_owned().await else { return };
+            let stream = loop {
+                match listener.accept().await {
+                    Ok((stream, _)) => break stream,
+                    Err(error) => {
+                        // Out of descriptors, most often: it passes when connections close.
+                        eprintln!("steprelay: cannot take a connection: {error}");
+                        sleep(Duration::from_millis(50)).await;
+                    }
                 }
-            }
-        };
-        let serving = serve(stream, number);
-        spawn_local(async move {
-            serving.await;
-            drop(place);
-        });
+            };
+            let serving = serve(stream, number);
+            spawn_local(async move {
+                serving.await;
+                drop(place);
+            });
+        }
+    };
+    tokio::select! {
+        biased;
+        true = over => {}
+        () = taking => {}
     }
 }
--- a/agent/tests/common/mod.rs
+++ b/agent/tests/common/mod.rs
@@ -80,6 +80,20 @@
         if let Some(snmp) = &self.snmp {
             command.arg("--snmp").arg(file("snmp.toml", snmp));
         }
+        Self::run(command, config)
+    }
+
+    /// Starts beside others that share the callers' listening socket, which each inherits as descriptor 4.
+    pub fn start_on(&self, socket: &TcpListener) -> Agent {
+        let config = self.file(&socket.local_addr().expect("bound").to_string());
+        let mut command = Command::new("/bin/sh");
+        command.args(["-c", "exec 4<&0 0</dev/null; exec \"$@\"", "sh", env!("CARGO_BIN_EXE_steprelay")]);
+        command.arg("serve").arg("--config").arg(&config).env_remove("LB_OPS").env("LB_SOCKET_FD", "4");
+        command.stdin(std::os::fd::OwnedFd::from(socket.try_clone().expect("clonable")));
+        Self::run(command, config)
+    }
+
+    fn run(mut command: Command, config: PathBuf) -> Agent {
         let mut child = command.stderr(Stdio::piped()).spawn().expect("it starts");
         let log = BufReader::new(child.stderr.take().expect("piped"));
         let mut agent = Agent { child, log, config, address: SocketAddr::from(([127, 0, 0, 1], 0)) };
--- a/core/src/duty.rs
+++ b/core/src/duty.rs
@@ -85,6 +85,12 @@
         replaced.into_iter().chain(self.away.map(|at| at + CATCH_UP)).min()
     }
 
+    /// Whether a connection stays for the releases of what stands. Another process that serves in our place
+    /// gets them instead.
+    pub fn keeps_one(&self) -> bool {
+        !self.stopping.is_some_and(|(_, replaced)| replaced)
+    }
+
     pub fn takes_set_ups(&self, now: Micros) -> bool {
         self.away.is_none_or(|at| now < at + LAST_TAKEN)
     }
--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -269,7 +269,7 @@
             let waits = self.relay.unconfirmed(now);
             // Releases of what stands need a connection that takes them: the one that made most of the calls
             // stays for them.
-            let stand = self.relay.standing() + self.relay.owed() > 0;
+            let stand = self.duty.keeps_one() && self.relay.standing() + self.relay.owed() > 0;
             let stays = self.clients.last_to_go().filter(|_| stand);
             for (client, inputs) in self.clients.quiet(now) {
                 if !waits.contains(&client) && Some(client) != stays {
@@ -283,9 +283,9 @@
         }
     }
 
-    /// Connections of callers, and releases that none has confirmed.
-    pub fn ties(&self) -> (usize, usize) {
-        (self.clients.connections(), self.relay.owed())
+    /// Connections of callers.
+    pub fn connections(&self) -> usize {
+        self.clients.connections()
     }
 
     /// The servers in the list, and those of them that the decisions avoid.
