Take a server's release though its connection was let go in the same moment

Ruled out: the release not being written; a second connection silent from its start. Change: such a release ends what stands; about a set-up it settles nothing still. Two tests, the first fails without it.

--- a/agent/src/net/owner.rs
+++ b/agent/src/net/owner.rs
@@ -216,11 +216,13 @@
                 }
             }
             // Words of a connection that was already let go.
+            Input::Ended { link, call, cause, .. } => {
+                self.core.server_ended_late(now, link.server, call, cause);
+            }
             Input::LinkUp { outbox, .. } => outbox.cut(),
             Input::LinkLost { .. }
             | Input::Progress { .. }
             | Input::Answered { .. }
-            | Input::Ended { .. }
             | Input::Reported { .. }
             | Input::Tested { .. } => {}
             Input::Listed { source, kind, servers } => self.listed(source, kind, servers),
@@ -402,3 +404,85 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::ports::clock::Clock;
+    use crate::ports::conn::{self, Inbox};
+    use steprelay_core::{Bounds, ReleaseCause, Request};
+    use steprelay_decisions::{Cause, Report, Settings};
+    use steprelay_settings::Site;
+
+    const SERVER: ServerId = ServerId(1);
+    const CALL: CallId = CallId(7);
+
+    /// An owner with one caller and one server, whose connections the test holds; the call was made.
+    fn with_call() -> (Owner, Inbox<ToClient>, LinkId, Inbox<ToServer>) {
+        let class = steprelay_decisions::Class { aim: 1_000_000, repeatable: true, ..Default::default() };
+        let decisions = Settings { group_size: 1, classes: vec![class], ..Settings::default() };
+        let site = Site { decisions, class_names: vec!["standard-check".into()], ..Site::default() };
+        let shared = Shared {
+            clock: Clock::start(),
+            pool: Default::default(),
+            site: Rc::new(site.clone()),
+            inputs: mpsc::channel(1).0,
+            unreadable: Rc::default(),
+            calls: Rc::default(),
+            unwritten: Rc::default(),
+            tallies: Rc::default(),
+        };
+        let now = shared.clock.now();
+        let core = Core::new(site, Bounds { connections: 8, connections_of_one: 8, bytes: 1 << 20 }, 7, now);
+        let mut owner = Owner::new(core, shared, Rc::new(|_, _| {}));
+        let way = Way::Platform(([127, 0, 0, 1], 1).into());
+        let entry = Entry { server: SERVER, started: None, number: 0, state: Readiness::Ready };
+        owner.listed(Source::Board, ListKind::All, vec![(entry, way)]);
+        owner.keep_links();
+        let (link, client) = (LinkId { server: SERVER, epoch: 1 }, ClientId(1));
+        let (outbox, to_server) = conn::channel();
+        owner.take(Input::LinkUp { link, outbox });
+        let (outbox, inbox) = conn::channel();
+        owner.take(Input::ClientOpened { client, peer: None, outbox });
+        let request = Request {
+            call: CALL,
+            class: 0,
+            tenant: 0,
+            dest: None,
+            number: "".into(),
+            description: "v=0".into(),
+            came: now,
+            left: 5_000_000,
+            was_cut: false,
+        };
+        owner.take(Input::Offer { client, request });
+        owner.carry_out();
+        (owner, inbox, link, to_server)
+    }
+
+    fn ended(link: LinkId) -> Input {
+        let (cause, note, report) = (ReleaseCause::NORMAL, Cause::Untold, Report::default());
+        Input::Ended { link, call: CALL, cause, note, report }
+    }
+
+    #[test]
+    fn a_release_is_passed_on_though_its_connection_was_just_let_go() {
+        let (mut owner, mut inbox, link, _to_server) = with_call();
+        owner.take(Input::Answered { link, call: CALL, description: "v=1".into() });
+        owner.carry_out();
+        assert!(matches!(inbox.next_now(), Some(ToClient::Answer { call: CALL, .. })));
+        owner.take(ended(LinkId { epoch: 99, ..link }));
+        owner.carry_out();
+        assert!(matches!(inbox.next_now(), Some(ToClient::Released { call: CALL, .. })));
+        assert_eq!(owner.core.standing(), 0);
+    }
+
+    #[test]
+    fn what_such_a_connection_says_of_a_set_up_settles_nothing() {
+        let (mut owner, mut inbox, link, _to_server) = with_call();
+        owner.take(ended(LinkId { epoch: 99, ..link }));
+        owner.carry_out();
+        assert!(inbox.next_now().is_none());
+        assert_eq!(owner.core.unanswered(), 1, "its attempt is out on another connection");
+    }
+}
--- a/core/src/relay.rs
+++ b/core/src/relay.rs
@@ -199,6 +199,15 @@
         }
     }
 
+    /// A server has released a call on a connection that was let go of meanwhile. It was told already that
+    /// this was heard, and does not say it again: what stands there is over all the same. A set-up that was
+    /// out on that connection counts as reset, so that the word can't be about a later attempt.
+    pub fn server_ended_late(&mut self, now: Micros, server: ServerId, call: CallId, cause: ReleaseCause) {
+        if !self.pending.contains_key(&call) {
+            self.server_ended(now, server, call, cause, Cause::Untold, Report::default());
+        }
+    }
+
     /// Whether any call stands at a server.
     pub fn stands_at(&self, server: ServerId) -> bool {
         self.relay.standing.values().any(|standing| standing.attempt.server == server)
