Read on a server connection that makes way for another: a release may be on it

Ruled out: the server writing to the silent connection (19 releases of 5's calls came on 4, 7, 8, 9 and 10); a second connection silent from its start. Change: such a connection is half closed and read on for 500 ms. A story over sockets fails without it.

--- a/agent/src/front/m3ua/mod.rs
+++ b/agent/src/front/m3ua/mod.rs
@@ -321,8 +321,8 @@
                 Event::SetUp { server, call, set_up }
             }
             ToServer::Probe(call) => Event::Probe { server, data: call.0.to_be_bytes() },
-            // Confirming a release is part of this signalling already.
-            ToServer::Heard(_) => return,
+            // Confirming a release is part of this signalling already, and a peer has one association.
+            ToServer::Heard(_) | ToServer::Finish => return,
             ToServer::GiveUp(call) => Event::End { server, call: CallRef(call.0), cause: Cause::NORMAL },
             ToServer::Release(call, cause) => {
                 Event::End { server, call: CallRef(call.0), cause: Cause(cause.0) }
--- a/agent/src/front/platform/servers.rs
+++ b/agent/src/front/platform/servers.rs
@@ -1,9 +1,10 @@
 //! Towards check servers: one connection each, on which set-ups go out and answers come back.
 
 use std::io;
-use std::net::SocketAddr;
+use std::net::{Shutdown, SocketAddr};
 use std::rc::Rc;
 
+use socket2::SockRef;
 use steprelay_core::{LinkLoss, ReleaseCause};
 use steprelay_decisions::{Cause, Report};
 use tokio::net::TcpStream;
@@ -18,6 +19,10 @@
 /// Where the settings name no time for a dial.
 const DIAL_TIMEOUT: Duration = Duration::from_millis(500);
 
+/// A connection that is let go of is read on for so long: what the server wrote before it knew takes one way
+/// through the network and its turn at our reading.
+const READ_ON: Duration = Duration::from_millis(500);
+
 /// A line is whole this long after its first part: servers write theirs at once, and until the end of one
 /// that has none is found, everything out on the connection waits for nothing.
 const WHOLE_WITHIN: Duration = Duration::from_millis(500);
@@ -56,13 +61,14 @@
     }
     let cut = inbox.cut();
     // A set-up that is too long in this form, which only one that came in another can be.
-    let left_out = |line: &ToServer| {
-        if let ToServer::SetUp(set_up) = line {
+    let left_out = |line: &ToServer| match line {
+        ToServer::SetUp(set_up) => {
             let (call, cause, report) = (set_up.call, ReleaseCause::PROTOCOL, Report::default());
             let input = Input::Ended { link, call, cause, note: Cause::Unproven, report };
-            shared.inputs.try_send(input).map_err(|_| io::ErrorKind::BrokenPipe)?;
+            shared.inputs.try_send(input).map_err(|_| io::ErrorKind::BrokenPipe.into())
         }
-        Ok(())
+        ToServer::Finish => Err(io::ErrorKind::ConnectionAborted.into()),
+        _ => Ok(()),
     };
     let dispatched = |attempts| Tallies::add(&shared.tallies.dispatches, attempts);
     let encode = |line: &ToServer, buffer: &mut Buffer| encode(line, buffer, &shared.site.class_names);
@@ -73,11 +79,23 @@
                 shared.unreadable.say(shared.clock.now(), line);
             }
         }
-        _ = conn::write_posted(&stream, &shared.pool, &mut inbox, encode, left_out, dispatched) => {}
+        ended = conn::write_posted(&stream, &shared.pool, &mut inbox, encode, left_out, dispatched) => {
+            if ended.is_err_and(|error| error.kind() == io::ErrorKind::ConnectionAborted) {
+                finish(&stream, link, shared, &own).await;
+            }
+        }
         _ = cut.notified() => {}
     };
 }
 
+/// Ends our side of a connection and reads on, since a release may be on its way.
+async fn finish(stream: &TcpStream, link: LinkId, shared: &Shared, own: &Outbox<ToServer>) {
+    if SockRef::from(stream).shutdown(Shutdown::Write).is_ok() {
+        // However it ends: nothing else is waited for.
+        let _ = timeout(READ_ON, read(stream, link, shared, own)).await;
+    }
+}
+
 async fn read(stream: &TcpStream, link: LinkId, shared: &Shared, own: &Outbox<ToServer>) -> io::Result<()> {
     let mut incoming = Incoming::new(stream, &shared.pool, message::split, WHOLE_WITHIN);
     while let Some(line) = incoming.next().await? {
@@ -137,5 +155,7 @@
         ToServer::Release(call, cause) => message::write(buffer, "end", *call, &[], Some(cause.0), None),
         ToServer::Probe(call) => message::write(buffer, "test", *call, &[], Some(0), None),
         ToServer::Heard(call) => message::write(buffer, "ended", *call, &[], None, None),
+        // No message: it is left out, and heard of by that.
+        ToServer::Finish => Err(io::ErrorKind::Unsupported.into()),
     }
 }
--- a/agent/src/net/links.rs
+++ b/agent/src/net/links.rs
@@ -65,7 +65,7 @@
             ToServer::GiveUp(call) => {
                 self.out.remove(call);
             }
-            ToServer::Release(..) | ToServer::Heard(_) => {}
+            ToServer::Release(..) | ToServer::Heard(_) | ToServer::Finish => {}
         }
         self.outbox.post(message)
     }
@@ -84,6 +84,15 @@
         self.owes.is_some_and(|since| now - since >= (PAUSES * self.longest).clamp(SOON, LATE))
     }
 
+    /// Lets go of one that is well and on which nothing waits. The server may be writing a release on it at
+    /// this moment, so it is read on until the server ends it too.
+    fn finish(self) {
+        debug_assert!(self.out.is_empty());
+        if !self.outbox.post(ToServer::Finish) {
+            self.outbox.cut();
+        }
+    }
+
     fn end(self) -> Vec<CallId> {
         self.outbox.cut();
         self.out.into_iter().collect()
@@ -148,7 +157,7 @@
         }
         // A third makes way first, so that what the server wrote to it meanwhile comes on the next.
         if let Some(former) = self.former.take_if(|former| former.conn.out.is_empty()) {
-            former.conn.end();
+            former.conn.finish();
         }
         *epochs += 1;
         self.relief = Some(*epochs);
--- a/agent/src/ports/mod.rs
+++ b/agent/src/ports/mod.rs
@@ -61,6 +61,8 @@
     Probe(CallId),
     /// A release was heard, so that it need not come again.
     Heard(CallId),
+    /// Nothing follows. What the server has written is still read.
+    Finish,
 }
 
 /// A message without a description weighs about this much.
--- a/agent/tests/platform.rs
+++ b/agent/tests/platform.rs
@@ -507,3 +507,28 @@
     server.expect("ended", 77);
     caller.settle();
 }
+
+#[test]
+fn a_release_that_crosses_the_end_of_its_connection_is_passed_on() {
+    let server = Server::new();
+    let agent = Setting::new(&[server.address]).start();
+    let (mut caller, mut first) = (agent.caller(), server.accept());
+    caller.offer(1, 9000, 0);
+    first.expect("offer", 1);
+    first.say(accept(1));
+    caller.expect("accept", 1);
+    // The first is silent for a while, then well: it stays beside the second.
+    caller.offer(2, 9000, 0);
+    first.expect("offer", 2);
+    let mut second = server.accept();
+    assert!(first.answered_test() && second.answered_test());
+    first.say(accept(2));
+    caller.expect("accept", 2);
+    // The second is silent: the first makes way for a third.
+    caller.offer(3, 9000, 0);
+    second.expect("offer", 3);
+    let _third = server.accept();
+    assert_eq!(first.next(), None, "nothing more comes on it");
+    first.say(end(1, 16));
+    caller.expect("end", 1);
+}
