--- a/agent/src/net/owner.rs
+++ b/agent/src/net/owner.rs
@@ -232,8 +232,19 @@
                 let counts = self.core.counts().clone();
                 // Whoever asked may have gone meanwhile.
                 let (targets, targets_disabled) = self.core.targets(now);
-                let _ =
-                    asked.send(Snapshot { counts, unanswered, standing, targets, targets_disabled, servers });
+                let tallies = &self.shared.tallies;
+                let _ = asked.send(Snapshot {
+                    counts,
+                    unanswered,
+                    standing,
+                    targets,
+                    targets_disabled,
+                    dispatches: tallies.dispatches.get(),
+                    reloads_taken: tallies.reloads_taken.get(),
+                    reloads_refused: tallies.reloads_refused.get(),
+                    duty: self.core.duty().state(),
+                    servers,
+                });
             }
             Input::Duty(wanted, asked) => {
                 let before = self.core.duty().state();
--- a/agent/src/ops/line.rs
+++ b/agent/src/ops/line.rs
@@ -70,7 +70,7 @@
 }
 
 /// The figures at one moment, a line each, and a line with a point. `classes` are the settings' names.
-pub fn stats(figures: &Snapshot, classes: &[String], dispatches: u64, reloads: (u64, u64)) -> String {
+pub fn stats(figures: &Snapshot, classes: &[String]) -> String {
     let mut text = String::from("+OK\n");
     let mut put = |name: &str, value: u64| text.push_str(&format!("edge_lb.{name}={value}\n"));
     for (name, counts) in classes.iter().zip(&figures.counts.classes) {
@@ -78,12 +78,12 @@
         put(&format!("replies.{name}.overload"), counts.overload);
         put(&format!("replies.{name}.error"), counts.error);
     }
-    put("dispatches", dispatches);
-    put("concurrent", (figures.unanswered + figures.standing) as u64);
+    put("dispatches", figures.dispatches);
+    put("concurrent", figures.concurrent() as u64);
     put("targets", figures.targets as u64);
     put("targets_disabled", figures.targets_disabled as u64);
-    put("reloads.taken", reloads.0);
-    put("reloads.refused", reloads.1);
+    put("reloads.taken", figures.reloads_taken);
+    put("reloads.refused", figures.reloads_refused);
     text.push_str(".\n");
     text
 }
--- a/agent/src/ops/mod.rs
+++ b/agent/src/ops/mod.rs
@@ -116,9 +116,7 @@
             let (ask, answer) = oneshot::channel();
             shared.inputs.send(Input::Snapshot(ask)).await.ok()?;
             let figures = answer.await.ok()?;
-            let tallies = &shared.tallies;
-            let reloads = (tallies.reloads_taken.get(), tallies.reloads_refused.get());
-            return Some(line::stats(&figures, &shared.site.class_names, tallies.dispatches.get(), reloads));
+            return Some(line::stats(&figures, &shared.site.class_names));
         }
         Command::Status => OnDuty::Ask,
         Command::Standby => OnDuty::Standby,
--- a/agent/src/ports/mod.rs
+++ b/agent/src/ports/mod.rs
@@ -262,10 +262,22 @@
     /// The servers in the list, and those of them that are avoided.
     pub targets: usize,
     pub targets_disabled: usize,
+    /// As in [`Tallies`].
+    pub dispatches: u64,
+    pub reloads_taken: u64,
+    pub reloads_refused: u64,
+    pub duty: duty::State,
     /// Each server with the bound of its image, if it has one.
     pub servers: Vec<(Entry, ServerCounts, Option<f64>)>,
 }
 
+impl Snapshot {
+    /// Calls taken and not ended: those without an answer, and those that stand.
+    pub fn concurrent(&self) -> usize {
+        self.unanswered + self.standing
+    }
+}
+
 /// What the M3UA front can tell of its peers at one moment.
 #[derive(Default)]
 pub struct SignallingFigures {
--- a/agent/src/snmp/mib.rs
+++ b/agent/src/snmp/mib.rs
@@ -6,6 +6,7 @@
 use rasn_smi::v1::Gauge;
 use rasn_smi::v2::{ApplicationSyntax, Counter64, SimpleSyntax};
 use rasn_snmp::v2::ObjectSyntax;
+use steprelay_core::duty::State;
 use steprelay_core::Breach;
 use steprelay_decisions::Readiness;
 
@@ -16,7 +17,13 @@
 
 pub type Objects = BTreeMap<Vec<u32>, ObjectSyntax>;
 
-pub fn objects(snapshot: &Snapshot, signalling: &SignallingFigures, bad_requests: u64) -> Objects {
+/// `classes` are the settings' names, in order.
+pub fn objects(
+    snapshot: &Snapshot,
+    classes: &[String],
+    signalling: &SignallingFigures,
+    bad_requests: u64,
+) -> Objects {
     let mut objects = Objects::new();
     let mut put = |rest: &[u32], value| {
         objects.insert([&ROOT, rest].concat(), value);
@@ -35,12 +42,23 @@
         counts.releases_lost,
         counts.answered_late,
         counts.repeated,
+        snapshot.dispatches,
     ];
     for (place, count) in (1..).zip(outcomes) {
         put(&[1, place, 0], counter(count));
     }
     put(&[2, 1, 0], gauge(snapshot.unanswered as u64));
     put(&[2, 2, 0], gauge(snapshot.standing as u64));
+    put(&[2, 3, 0], gauge(snapshot.concurrent() as u64));
+    for (index, (name, of_class)) in (1..).zip(classes.iter().zip(&counts.classes)) {
+        let columns =
+            [text(name), counter(of_class.success), counter(of_class.overload), counter(of_class.error)];
+        for (column, value) in (2..).zip(columns) {
+            put(&[8, 1, 1, column, index], value);
+        }
+    }
+    put(&[3, 2, 0], gauge(snapshot.targets as u64));
+    put(&[3, 3, 0], gauge(snapshot.targets_disabled as u64));
     for (entry, sent, bound) in &snapshot.servers {
         let state = match entry.state {
             Readiness::Ready => 1,
@@ -67,6 +85,15 @@
     }
     put(&[5, 1, 0], counter(bad_requests));
     put(&[5, 2, 0], counter(counts.let_go));
+    put(&[5, 3, 0], counter(snapshot.reloads_taken));
+    put(&[5, 4, 0], counter(snapshot.reloads_refused));
+    let duty = match snapshot.duty {
+        State::Starting => 1,
+        State::Serving => 2,
+        State::Standby => 3,
+        State::Stopping => 4,
+    };
+    put(&[5, 5, 0], integer(duty));
     for (index, peer) in (1..).zip(&signalling.peers) {
         let [setting_up, standing, releasing, blocked, other] =
             peer.circuits.map(|count| gauge(count as u64));
--- a/agent/src/snmp/mod.rs
+++ b/agent/src/snmp/mod.rs
@@ -39,7 +39,9 @@
         }
         let Ok(snapshot) = answer.await else { return };
         let signalling = signalling.as_ref().map(|ask| ask()).unwrap_or_default();
-        if let Some(response) = pdu::answer(request, &mib::objects(&snapshot, &signalling, bad)) {
+        if let Some(response) =
+            pdu::answer(request, &mib::objects(&snapshot, &shared.site.class_names, &signalling, bad))
+        {
             let _ = socket.send_to(&response, from).await;
         }
     }
--- a/agent/tests/snmp.rs
+++ b/agent/tests/snmp.rs
@@ -25,6 +25,13 @@
     }
 }
 
+fn shown(value: &Value) -> Option<String> {
+    match value {
+        Value::OctetString(text) => Some(String::from_utf8_lossy(text).into_owned()),
+        other => figure(other).map(|figure| figure.to_string()),
+    }
+}
+
 fn get(session: &mut SyncSession, rest: &[u64]) -> Option<u64> {
     let answer = session.get(&oid(rest)).expect("an answer");
     let (name, value) = answer.varbinds.clone().next().expect("one variable");
@@ -71,9 +78,9 @@
     loop {
         let answer = session.getnext(&at).expect("an answer");
         let (name, value) = answer.varbinds.clone().next().expect("one variable");
-        let Some(figure) = figure(&value) else { break };
+        let Some(shown) = shown(&value) else { break };
         let name = name.to_owned();
-        assert!(walked.insert(name.to_string(), figure).is_none(), "{name} comes again");
+        assert!(walked.insert(name.to_string(), shown).is_none(), "{name} comes again");
         at = name;
     }
     let listed: Vec<_> = walked.iter().map(|(name, figure)| format!("{name} = {figure}")).collect();
@@ -82,7 +89,7 @@
     let bulk: BTreeMap<_, _> = answer
         .varbinds
         .clone()
-        .filter_map(|(name, value)| Some((name.to_string(), figure(&value)?)))
+        .filter_map(|(name, value)| Some((name.to_string(), shown(&value)?)))
         .collect();
     assert_eq!(bulk, walked);
 }
