--- a/agent/src/board/frames.rs
+++ b/agent/src/board/frames.rs
@@ -106,7 +106,7 @@
     #[test]
     fn frames_are_whole_however_they_were_split() {
         let bytes = [frame(41, 1, &RECORD_OF_ONE), frame(41, 0, &[]), frame(42, 2, &[])].concat();
-        for step in [1, 2, 3, 7, bytes.len()] {
+        for step in 1..=bytes.len() {
             let (mut frames, mut seen) = (Frames::default(), Vec::new());
             for part in bytes.chunks(step) {
                 frames.push(part);
--- a/agent/src/front/m3ua/mod.rs
+++ b/agent/src/front/m3ua/mod.rs
@@ -29,6 +29,8 @@
 pub use config::{M3uaConfig, M3uaConfigError};
 pub use kept::KeptError;
 use kept::{Kept, Record};
+#[cfg(test)]
+pub use sockets::split;
 pub use sockets::{keep, serve};
 
 /// What may wait for the front's task.
--- a/agent/src/front/m3ua/sockets.rs
+++ b/agent/src/front/m3ua/sockets.rs
@@ -22,7 +22,8 @@
 /// A sibling connection that could not be had is dialled again after this, while another one carries.
 const PAUSE: Duration = Duration::from_millis(1000);
 
-fn split(bytes: &[u8]) -> Split {
+/// How far the first message in some bytes goes.
+pub fn split(bytes: &[u8]) -> Split {
     match m3ua::split(bytes) {
         m3ua::Split::Whole(length) => Split::Whole(length),
         m3ua::Split::Partial => Split::Partial,
