--- a/agent/benches/fronts.rs
+++ b/agent/benches/fronts.rs
@@ -18,7 +18,6 @@
 /// Calls that are open at once.
 const OPEN: u32 = 64;
 const ROUNDS: usize = 3;
-const DESC: &str = "9d41c07a5be2f318\\r\\nc=IN IP4 10.4.7.9\\r\\nm=audio 31000 RTP/AVP 0 8 101\\r\\n";
 
 fn main() {
     let mut figures = [Vec::new(), Vec::new()];
@@ -26,7 +25,7 @@
     for _ in 0..ROUNDS {
         let server = Server::new();
         let address = server.address;
-        std::thread::spawn(move || answer_all(server));
+        std::thread::spawn(move || answer_all(server.listener));
         let mut setting = Setting::new(&[address]);
         setting.m3ua = Some(FILE.into());
         let mut agent = setting.start();
@@ -58,25 +57,6 @@
     [[class]]\ncategory = 10\nclass = 'standard-check'\nwait_ms = 5000\n\
     [[client]]\nname = 'branch-a'\npoint_code = 2001\nrouting_context = 1\ntenant = 'lembah-realty'\n";
 
-/// A server that answers each set-up and lets its caller release.
-fn answer_all(server: Server) {
-    while let Ok((stream, _)) = server.listener.accept() {
-        std::thread::spawn(move || {
-            let mut lines = Lines::new(stream);
-            lines.answers_tests = true;
-            while let Some(message) = lines.next() {
-                if message["op"] == "offer" {
-                    let call = message["call"].as_str().expect("text");
-                    let line = format!(
-                        "{{\"op\":\"accept\",\"call\":\"{call}\",\"with\":{{}},\"desc\":\"{DESC}\"}}\n"
-                    );
-                    lines.raw(line.as_bytes());
-                }
-            }
-        });
-    }
-}
-
 /// Callers over the platform's front.
 fn platform(address: SocketAddr) -> Box<dyn FnOnce()> {
     Box::new(move || {
--- /dev/null
+++ b/agent/benches/ops.rs
@@ -0,0 +1,93 @@
+//! What the second address costs, and how soon it answers under full load, in one run against the program
+//! without it: the same calls through both, the one asked for its figures all the time.
+//!
+//! `cargo bench -p steprelay --bench ops`
+
+#[path = "../tests/common/mod.rs"]
+mod common;
+
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use common::*;
+
+const CALLS: u64 = 100_000;
+/// Calls that are open at once.
+const OPEN: u64 = 64;
+const ROUNDS: u64 = 5;
+/// The front asks ten times a second whether we are ready, and the figures are fetched every second.
+const ASKED_EVERY: Duration = Duration::from_millis(100);
+
+fn main() {
+    let (mut off, mut on, mut waits) = (Vec::new(), Vec::new(), Vec::new());
+    for round in 0..ROUNDS {
+        off.push(processor_a_call(false, &mut waits));
+        on.push(processor_a_call(true, &mut waits));
+        let (without, with) = (off[off.len() - 1], on[on.len() - 1]);
+        println!("round {round}: {without:.2} us of processor a call without, {with:.2} us with");
+    }
+    let median = |mut figures: Vec<f64>| {
+        figures.sort_by(f64::total_cmp);
+        figures[figures.len() / 2]
+    };
+    let (without, with) = (median(off), median(on));
+    println!("with / without: {:.3} of the processor time a call, by the medians", with / without);
+    waits.sort();
+    let part = |part: f64| waits[((waits.len() - 1) as f64 * part) as usize].as_secs_f64() * 1e3;
+    println!(
+        "status under full load: p50 {:.2} ms, p99 {:.2} ms, most {:.2} ms, of {}",
+        part(0.5),
+        part(0.99),
+        part(1.0),
+        waits.len()
+    );
+}
+
+/// Microseconds of processor time a call, where the second address is `on` and asked meanwhile, or off. `waits`
+/// gets how long each answer to `status` took.
+fn processor_a_call(on: bool, waits: &mut Vec<Duration>) -> f64 {
+    let server = Server::new();
+    let mut setting = Setting::new(&[server.address]);
+    setting.ops = on.then(|| "127.0.0.1:0".into());
+    let mut agent = setting.start();
+    let ops = on.then(|| agent.ops());
+    std::thread::spawn(move || answer_all(server.listener));
+    let over = Arc::new(AtomicBool::new(false));
+    let asking = ops.map(|ops| {
+        let over = over.clone();
+        std::thread::spawn(move || {
+            let mut waits = Vec::new();
+            while !over.load(Ordering::Relaxed) {
+                let asked = Instant::now();
+                assert!(ask(ops, b"status\n").starts_with('+') || waits.len() < 3, "it serves");
+                waits.push(asked.elapsed());
+                if waits.len() % 10 == 0 {
+                    ask(ops, b"stats\n");
+                }
+                std::thread::sleep(ASKED_EVERY.saturating_sub(asked.elapsed()));
+            }
+            waits
+        })
+    });
+    let mut caller = agent.caller();
+    let before = agent.processor();
+    (1..=OPEN).for_each(|call| caller.offer(call, 9000, 0));
+    let mut next = OPEN + 1;
+    for _ in 0..CALLS {
+        let message = caller.next().expect("an answer");
+        assert_eq!(message["op"], "accept", "{message}");
+        let call = u64::from_str_radix(message["call"].as_str().expect("text"), 16).expect("hex");
+        caller.say(end(call, 16));
+        if next <= CALLS {
+            caller.offer(next, 9000, 0);
+            next += 1;
+        }
+    }
+    let used = agent.processor() - before;
+    over.store(true, Ordering::Relaxed);
+    if let Some(asking) = asking {
+        waits.extend(asking.join().expect("it was answered each time"));
+    }
+    used * 1e6 / CALLS as f64
+}
--- a/agent/tests/common/mod.rs
+++ b/agent/tests/common/mod.rs
@@ -308,6 +308,22 @@
     json!({"op": "accept", "call": hex(call), "with": {}, "desc": DESCRIPTION})
 }
 
+/// A server that answers each set-up and lets its caller release.
+pub fn answer_all(listener: TcpListener) {
+    while let Ok((stream, _)) = listener.accept() {
+        std::thread::spawn(move || {
+            let mut lines = Lines::new(stream);
+            lines.answers_tests = true;
+            while let Some(message) = lines.next() {
+                if message["op"] == "offer" {
+                    let call = message["call"].as_str().expect("text");
+                    lines.say(accept(u64::from_str_radix(call, 16).expect("hex")));
+                }
+            }
+        });
+    }
+}
+
 pub fn end(call: u64, why: u8) -> Value {
     json!({"op": "end", "call": hex(call), "with": {}, "why": why})
 }
--- a/agent/tests/upgrade.rs
+++ b/agent/tests/upgrade.rs
@@ -1,4 +1,4 @@
-//! Stories of upgrades: a second process beside the first, with the callers' listening socket that both inherit.
+//! Stories of upgrades: a second process beside the first, with the listening socket that both inherit.
 
 mod common;
 
@@ -7,7 +7,7 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
 
-use common::{accept, ask, end, Agent, Lines, Server, Setting};
+use common::{accept, answer_all, ask, end, Agent, Lines, Server, Setting};
 use serde_json::json;
 
 struct Site {
@@ -78,21 +78,7 @@
     let over = Arc::new(AtomicBool::new(false));
     let (mut agent, _) = site.start();
     let server = site.server.listener.try_clone().expect("clonable");
-    // Takes whatever comes and ends it at once.
-    std::thread::spawn(move || loop {
-        let (stream, _) = server.accept().expect("a connection");
-        std::thread::spawn(move || {
-            let mut lines = Lines::new(stream);
-            lines.answers_tests = true;
-            while let Some(message) = lines.next() {
-                if message["op"] == "offer" {
-                    let call =
-                        u64::from_str_radix(message["call"].as_str().expect("an id"), 16).expect("hex");
-                    lines.say(accept(call));
-                }
-            }
-        });
-    });
+    std::thread::spawn(move || answer_all(server));
     let callers: Vec<_> = (0..4u64)
         .map(|caller| {
             let (address, over) = (site.socket.local_addr().expect("bound"), over.clone());
