--- a/agent/benches/ops.rs
+++ b/agent/benches/ops.rs
@@ -44,8 +44,8 @@
     );
 }
 
-/// Microseconds of processor time a call, where the second address is `on` and asked meanwhile, or off. `waits`
-/// gets how long each answer to `status` took.
+/// Microseconds of processor time a call, where the second address is `on` and asked meanwhile, or off.
+/// `waits` gets how long each answer to `status` took.
 fn processor_a_call(on: bool, waits: &mut Vec<Duration>) -> f64 {
     let server = Server::new();
     let mut setting = Setting::new(&[server.address]);
