Refuse set-ups from 0.6 s after a process was replaced, so that its kill finds none

Need: a connection that never falls quiet stays with the old process until SIGKILL; a set-up taken later than 0.7 s after SIGTERM would be lost with it.

--- a/core/src/duty.rs
+++ b/core/src/duty.rs
@@ -5,7 +5,8 @@
 //! | starting | `status` says no | served | stay |
 //! | serving | yes | served | stay |
 //! | standby | no | served, refused in the end | let go of as each falls quiet |
-//! | stopping | `status` says no | served | stay, or let go of where another process has taken over |
+//! | stopping | `status` says no | served | stay |
+//! | the same, replaced | `status` says no | served, refused in the end | let go of as each falls quiet |
 
 use steprelay_decisions::Micros;
 
@@ -15,6 +16,9 @@
 /// In standby no set-up is taken after this: what is left by then never falls quiet by itself, and 4 s after
 /// the command no connection may carry a set-up of the last 2 s.
 const LAST_TAKEN: Micros = 1_900_000;
+/// One that was replaced is killed 0.7 s after the longest deadline: what it takes by now has its answer by
+/// then, and a caller that is refused is served by the other.
+const LAST_TAKEN_REPLACED: Micros = 600_000;
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum State {
@@ -92,7 +96,9 @@
     }
 
     pub fn takes_set_ups(&self, now: Micros) -> bool {
+        let replaced = self.stopping.filter(|(_, replaced)| *replaced);
         self.away.is_none_or(|at| now < at + LAST_TAKEN)
+            && replaced.is_none_or(|(at, _)| now < at + LAST_TAKEN_REPLACED)
     }
 }
 
@@ -127,7 +133,7 @@
             (&[Ready, Standby, Active], State::Serving, true, None, true),
             (&[Ready, Active, Active], State::Serving, true, None, true),
             (&[Ready, Stop], State::Stopping, true, None, true),
-            (&[Ready, Replaced], State::Stopping, true, Some(1_000 * MS), true),
+            (&[Ready, Replaced], State::Stopping, true, Some(1_000 * MS), false),
             (&[Ready, Standby, Replaced, Active], State::Stopping, false, Some(1_400 * MS), false),
             (&[Ready, Stop, Replaced, Active], State::Stopping, true, None, true),
         ];
