--- a/agent/tests/upgrade.rs
+++ b/agent/tests/upgrade.rs
@@ -149,3 +149,29 @@
     assert_eq!(ask(ops, b"status\n"), "+OK serving\n");
     drop(old);
 }
+
+#[test]
+fn an_old_process_that_is_killed_takes_nobody_else_along() {
+    let site = Site::new();
+    let (mut old, old_ops) = site.start();
+    let mut at_old = site.server.accept();
+    let mut caller = site.caller();
+    caller.offer(1, 9000, 0);
+    at_old.expect("offer", 1);
+    assert_eq!(ask(old_ops, b"standby\n"), "+OK\n");
+    let (new, ops) = site.start();
+    let mut at_new = site.server.accept();
+    upgraded(&mut old);
+    new.signal("HUP");
+    old.signal("HUP");
+    old.logged("configuration read again");
+    old.signal("KILL");
+    assert!(!old.ended().success());
+    assert_eq!(caller.next(), None, "its set-up went with the process");
+    let mut again = site.caller();
+    again.offer(2, 9000, 0);
+    at_new.expect("offer", 2);
+    at_new.say(accept(2));
+    again.expect("accept", 2);
+    assert_eq!(ask(ops, b"status\n"), "+OK serving\n", "standby was said to the other");
+}
--- a/core/src/tests.rs
+++ b/core/src/tests.rs
@@ -294,8 +294,8 @@
     stand.answer(ONE, 9);
     stand.answer(ONE, 10);
     assert_eq!(let_go(stand.pass_all(1_500 * MS)), [], "releases may come, and need a connection");
-    let refused =
-        Effect::Final { client: CALLER, call: CallId(11), verdict: Verdict::Refused { wait: None } };
+    let verdict = Verdict::Refused { wait: Some(100 * MS) };
+    let refused = Effect::Final { client: CALLER, call: CallId(11), verdict };
     assert_eq!(stand.offer(11, 3_000 * MS), [refused], "else the last would never fall quiet");
     for call in [8, 9, 10] {
         assert_eq!(stand.end(ONE, call, ReleaseCause::NORMAL), released(call, ReleaseCause::NORMAL));
@@ -310,6 +310,26 @@
     assert!(set_up_at(&stand.offer(12, 3_000 * MS)).is_some());
 }
 
+#[test]
+fn one_that_was_replaced_takes_nothing_that_its_kill_could_find() {
+    let mut stand = Stand::new();
+    stand.offer(8, 3_000 * MS);
+    stand.answer(ONE, 8);
+    let now = stand.now;
+    stand.core.on_duty(now, |duty| duty.stop(now, true));
+    assert!(set_up_at(&stand.offer(9, 3_000 * MS)).is_some(), "its connection is not closed yet");
+    stand.pass(700 * MS);
+    let verdict = Verdict::Refused { wait: Some(100 * MS) };
+    let refused = Effect::Final { client: CALLER, call: CallId(10), verdict };
+    assert_eq!(stand.offer(10, 3_000 * MS), [refused]);
+    stand.answer(ONE, 9);
+    let done = stand.pass_all(20 * MS);
+    assert!(
+        done.iter().any(|(_, effect)| matches!(effect, Effect::LetGo { client: CALLER, .. })),
+        "none stays for the releases of 8 and 9: the other process passes them on"
+    );
+}
+
 /// A generator of its own, so that the lives below come again in the same order.
 fn random(state: &mut u64) -> u64 {
     *state ^= *state << 13;
