--- a/agent/src/net/owner.rs
+++ b/agent/src/net/owner.rs
@@ -294,19 +294,16 @@
 
     /// Tells the clients that have a word for it in their signalling.
     fn duty_changed(&self, state: State) {
-        let message = match state {
-            State::Starting | State::Serving => {
-                eprintln!("steprelay: active, clients are welcome");
-                || ToClient::Pressure(0)
-            }
-            State::Standby => {
-                eprintln!("steprelay: standby, clients are sent away");
-                || ToClient::Draining
-            }
-            State::Stopping => || ToClient::Draining,
-        };
+        match state {
+            State::Starting | State::Serving => eprintln!("steprelay: active, clients are welcome"),
+            State::Standby => eprintln!("steprelay: standby, clients are sent away"),
+            State::Stopping => {}
+        }
         for outbox in self.clients.values() {
-            outbox.post(message());
+            outbox.post(match state {
+                State::Starting | State::Serving => ToClient::Pressure(self.pressure),
+                State::Standby | State::Stopping => ToClient::Draining,
+            });
         }
     }
 
