--- a/agent/benches/ops.rs
+++ b/agent/benches/ops.rs
@@ -16,10 +16,13 @@
 /// Calls that are open at once.
 const OPEN: u64 = 64;
 const ROUNDS: u64 = 5;
+/// Connections whose memory is measured, of either kind; the program lets go of them after 2 s.
+const CONNECTIONS: usize = 400;
 /// The front asks ten times a second whether we are ready, and the figures are fetched every second.
 const ASKED_EVERY: Duration = Duration::from_millis(100);
 
 fn main() {
+    memory_a_connection();
     let (mut off, mut on, mut waits) = (Vec::new(), Vec::new(), Vec::new());
     for round in 0..ROUNDS {
         off.push(processor_a_call(false, &mut waits));
@@ -44,6 +47,28 @@
     );
 }
 
+/// What a connection that says nothing holds, and one with half a line, in bytes.
+fn memory_a_connection() {
+    let mut setting = Setting::new(&[]);
+    setting.sockets = 8192;
+    let agent = setting.start();
+    let mut usual = agent.caller();
+    usual.settle();
+    let mut held = vec![usual];
+    for (kind, text) in [("idle", ""), ("half-written", "{\"op\":\"offer\"")] {
+        let before = agent.memory();
+        for _ in 0..CONNECTIONS {
+            let mut caller = agent.caller();
+            caller.raw(text.as_bytes());
+            held.push(caller);
+        }
+        // All that came before is taken in by then.
+        held[0].settle();
+        let more = agent.memory().saturating_sub(before);
+        println!("{kind}: {} bytes a connection, of {CONNECTIONS}", more / CONNECTIONS);
+    }
+}
+
 /// Microseconds of processor time a call, where the second address is `on` and asked meanwhile, or off.
 /// `waits` gets how long each answer to `status` took.
 fn processor_a_call(on: bool, waits: &mut Vec<Duration>) -> f64 {
--- a/agent/tests/common/mod.rs
+++ b/agent/tests/common/mod.rs
@@ -146,6 +146,14 @@
             / 100.0
     }
 
+    /// Bytes of memory that it holds.
+    pub fn memory(&self) -> usize {
+        let text = std::fs::read_to_string(format!("/proc/{}/status", self.child.id())).expect("it runs");
+        let line = text.lines().find_map(|line| line.strip_prefix("VmRSS:")).expect("told");
+        let kib = line.trim().trim_end_matches(" kB").trim();
+        kib.parse::<usize>().expect("a number") * 1024
+    }
+
     pub fn signal(&self, name: &str) {
         let done = Command::new("kill").args([&format!("-{name}"), &self.child.id().to_string()]).status();
         assert!(done.expect("kill runs").success());
