--- a/src/controller.rs
+++ b/src/controller.rs
@@ -309,7 +309,10 @@
         match event {
             Event::List { kind, entries } => self.list(now, kind, entries, actions),
             Event::Call(call) => self.call(now, call, actions),
-            Event::First { call, server, lag, .. } => self.first(now, call, server, lag),
+            Event::First { call, server, lag, .. } => {
+                self.first(now, call, server, lag);
+                self.call_off_lost(now, server, actions);
+            }
             Event::Ended(end) => {
                 self.report(now, end.server, &end.report);
                 self.ended(now, &end, actions);
@@ -333,7 +336,6 @@
                 for (id, pressed, _) in held {
                     self.press(now, id, pressed);
                 }
-                self.call_off_lost(now, actions);
                 self.dialled.retain(|_, &mut at| now < at + REMEMBER);
                 self.numbers.retain(|_, number| now < number.until + DURATION);
                 actions.push(Action::SetTimer { timer: Timer::Tick, after: TICK });
@@ -735,18 +737,15 @@
     /// Calls off set-ups that were lost on the way, where there is time for another attempt: later ones to
     /// the same server were answered long since. Guards against servers and links that swallow set-ups or
     /// answers; does harm where a server answers far out of turn.
-    fn call_off_lost(&mut self, now: Micros, actions: &mut Vec<Action>) {
+    fn call_off_lost(&mut self, now: Micros, server: ServerId, actions: &mut Vec<Action>) {
         if !self.settings.limits.cancel {
             return;
         }
         let patience = self.calm as Micros;
-        let lost: Vec<CallId> = self
-            .servers
-            .values()
-            .filter_map(|server| Some(server.out.range(..(server.answered? - patience, CallId(0)))))
-            .flatten()
-            .map(|&(_, id)| id)
-            .collect();
+        let Some(server) = self.servers.get(&server) else { return };
+        let Some(answered) = server.answered else { return };
+        let earlier = server.out.range(..(answered - patience, CallId(0)));
+        let lost: Vec<CallId> = earlier.map(|&(_, id)| id).collect();
         for id in lost {
             let Some(open) = self.calls.get_mut(&id) else { continue };
             let again = now + self.settings.release + patience;
