--- a/src/controller.rs
+++ b/src/controller.rs
@@ -549,8 +549,8 @@
                 None => return true,
                 Some(lines) => {
                     let room = lines.free * SECOND as f64 / self.mean_hold;
-                    // Nor more than the most that it said it can take, where it says so: free lines are no room
-                    // at a small processor.
+                    // Nor more than the most that it said it can take, where it says so: free lines are no
+                    // room at a small processor.
                     let told = if server.most_allowed > 0.0 { server.most_allowed } else { f64::MAX };
                     let takes = (GROWTH * self.pace(server, now) + room).min(told);
                     let bound = takes.max(FLOOR) * self.share_of(server, now);
--- a/tests/gapping.rs
+++ b/tests/gapping.rs
@@ -206,8 +206,8 @@
 
 #[test]
 fn what_is_redrawn_keeps_to_what_a_small_server_said_it_can_take() {
-    // A large server drains; the small one has many free lines, and has told of no pressure. Its own calls and
-    // those redrawn from the other come at 60 a second each.
+    // A large server drains; the small one has many free lines, and has told of no pressure. Calls for the
+    // other come at 60 a second.
     let redrawn = |allowed: Option<f64>| {
         let mut stand = Stand::new(Settings { group_size: 1, ..settings() }, 2);
         let (small, large) = (id_of(0), id_of(1));
