--- a/agent/tests/ops.rs
+++ b/agent/tests/ops.rs
@@ -4,6 +4,7 @@
 
 use std::io::{Read, Write};
 use std::net::TcpStream;
+use std::sync::atomic::{AtomicBool, Ordering};
 
 use common::{accept, ask, end, figure, hex, Server, Setting};
 use serde_json::json;
@@ -168,3 +169,40 @@
     assert_eq!(said(&setting, Some("here"), "check-config"), wrong("LB_OPS"));
     assert_eq!(said(&setting, Some("127.0.0.1:9"), "check-config").0, Some(0));
 }
+
+#[test]
+fn operators_are_answered_between_floods_and_their_commands_may_cross() {
+    let server = Server::new();
+    let mut agent = with_ops(&[&server]).start();
+    let (ops, _link) = (agent.ops(), server.accept());
+    let over = AtomicBool::new(false);
+    std::thread::scope(|scope| {
+        // Far more than the owner's queue holds, from callers that read nothing of what they are told.
+        for caller in 0..8 {
+            let (mut lines, over) = (agent.caller(), &over);
+            scope.spawn(move || {
+                let test = json!({"op": "test", "call": hex(caller), "with": {}, "why": 0});
+                let many = format!("{test}\n").repeat(500);
+                // Who does not read is cut in the end, and comes again no more.
+                while !over.load(Ordering::Relaxed) && lines.stream.write_all(many.as_bytes()).is_ok() {}
+            });
+        }
+        let crossing: Vec<_> = (0..6)
+            .map(|asker| {
+                let words: [&[u8]; 2] =
+                    if asker % 2 == 0 { [b"standby\n", b"stats\n"] } else { [b"active\n"; 2] };
+                scope.spawn(move || {
+                    for word in words.iter().cycle().take(20) {
+                        assert!(ask(ops, word).starts_with("+OK"));
+                    }
+                })
+            })
+            .collect();
+        for asker in crossing {
+            asker.join().expect("each was answered");
+        }
+        over.store(true, Ordering::Relaxed);
+    });
+    assert_eq!(ask(ops, b"active\n"), "+OK\n");
+    assert_eq!(ask(ops, b"status\n"), "+OK serving\n", "the last word counts");
+}
--- a/agent/tests/upgrade.rs
+++ b/agent/tests/upgrade.rs
@@ -2,12 +2,13 @@
 
 mod common;
 
+use std::io::Write;
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::process::{Command, Stdio};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
 
-use common::{accept, answer_all, ask, end, Agent, Lines, Server, Setting};
+use common::{accept, answer_all, ask, bytes, end, figure, frame, record, Agent, Lines, Server, Setting};
 use serde_json::json;
 
 struct Site {
@@ -175,3 +176,36 @@
     again.expect("accept", 2);
     assert_eq!(ask(ops, b"status\n"), "+OK serving\n", "standby was said to the other");
 }
+
+#[test]
+fn a_drain_during_an_upgrade_is_kept_by_both() {
+    let (mut site, draining, board) =
+        (Site::new(), Server::new(), TcpListener::bind("127.0.0.1:0").expect("a port"));
+    let other = site.server.address;
+    site.setting.servers = vec![(1, draining.address), (2, other)];
+    site.setting.board = Some(board.local_addr().expect("bound"));
+    let told = || {
+        let (mut stream, _) = board.accept().expect("a connection");
+        assert_eq!(bytes(&mut stream, 8), 1u64.to_be_bytes());
+        stream
+    };
+    let (mut old, old_ops) = site.start();
+    let (mut at_old, mut board_of_old) = (site.server.accept(), told());
+    let mut before = site.caller();
+    before.settle();
+    let (_new, new_ops) = site.start();
+    let (mut at_new, mut board_of_new) = (site.server.accept(), told());
+    let event = frame(2, 2, &[record(1, draining.address, 1)]);
+    for (board, ops) in [(&mut board_of_old, old_ops), (&mut board_of_new, new_ops)] {
+        board.write_all(&event).expect("read");
+        while figure(ops, "targets_disabled") == 0 {}
+    }
+    before.offer(1, 9000, 0);
+    at_old.expect("offer", 1);
+    upgraded(&mut old);
+    let mut after = site.caller();
+    after.offer(2, 9000, 0);
+    at_new.expect("offer", 2);
+    at_old.say(accept(1));
+    before.expect("accept", 1);
+}
