Do not hold the last connection idle for the calls of others when clients are sent away

At fault: core/src/lib.rs, let_quiet_go, kept the connection with most calls standing while any call stood; where its own had ended, it was idle. Change: from 3.5 s on it stays for its own calls alone. Ruled out: set-ups of the last 2 s, which are refused from 1.9 s on. The test fails without it.

--- a/core/src/clients.rs
+++ b/core/src/clients.rs
@@ -129,10 +129,12 @@
         self.change(client, |client| client.inputs += 1);
     }
 
-    /// The connection that is kept for releases when clients are sent away: the one with most calls standing.
-    pub fn last_to_go(&self) -> Option<ClientId> {
+    /// The connection that is kept for releases when clients are sent away, the one with most calls standing,
+    /// and how many those are.
+    pub fn last_to_go(&self) -> Option<(ClientId, usize)> {
         let called = self.clients.iter().filter(|(id, client)| !id.is_bound() && client.called.is_some());
-        called.max_by_key(|(id, client)| (client.standing, client.called, **id)).map(|(id, _)| *id)
+        let last = called.max_by_key(|(id, client)| (client.standing, client.called, **id));
+        last.map(|(id, client)| (*id, client.standing))
     }
 
     /// Connections of callers.
--- a/core/src/duty.rs
+++ b/core/src/duty.rs
@@ -16,6 +16,8 @@
 /// In standby no set-up is taken after this: what is left by then never falls quiet by itself, and 4 s after
 /// the command no connection may carry a set-up of the last 2 s.
 const LAST_TAKEN: Micros = 1_900_000;
+/// The last connection stays for calls of others until this; 4 s after the command none may be idle.
+const FOR_OTHERS: Micros = 3_500_000;
 /// One that was replaced is killed 0.7 s after the longest deadline: what it takes by now has its answer by
 /// then, and a caller that is refused is served by the other.
 const LAST_TAKEN_REPLACED: Micros = 600_000;
@@ -95,6 +97,11 @@
         !self.stopping.is_some_and(|(_, replaced)| replaced)
     }
 
+    /// Whether that one stays for calls that others made, too.
+    pub fn keeps_for_others(&self, now: Micros) -> bool {
+        self.away.is_some_and(|at| now < at + FOR_OTHERS)
+    }
+
     pub fn takes_set_ups(&self, now: Micros) -> bool {
         let replaced = self.stopping.filter(|(_, replaced)| *replaced);
         self.away.is_none_or(|at| now < at + LAST_TAKEN)
--- a/core/src/tests.rs
+++ b/core/src/tests.rs
@@ -52,18 +52,7 @@
     }
 
     fn offer(&mut self, call: u64, left: Micros) -> Vec<Effect> {
-        let request = Request {
-            call: CallId(call),
-            class: 0,
-            tenant: 0,
-            dest: Some(ONE.0),
-            number: format!("line-{call}").into(),
-            description: "v=0".into(),
-            came: self.now,
-            left,
-            was_cut: false,
-        };
-        self.core.offer(self.now, CALLER, request);
+        self.core.offer(self.now, CALLER, Request { left, ..request(call, self.now) });
         self.core.take_effects()
     }
 
@@ -107,6 +96,20 @@
     }
 }
 
+fn request(call: u64, came: Micros) -> Request {
+    Request {
+        call: CallId(call),
+        class: 0,
+        tenant: 0,
+        dest: Some(ONE.0),
+        number: format!("line-{call}").into(),
+        description: "v=0".into(),
+        came,
+        left: 3_000 * MS,
+        was_cut: false,
+    }
+}
+
 fn set_up_at(effects: &[Effect]) -> Option<ServerId> {
     effects.iter().find_map(|effect| match effect {
         Effect::SetUp { server, .. } => Some(*server),
@@ -310,6 +313,28 @@
     assert!(set_up_at(&stand.offer(12, 3_000 * MS)).is_some());
 }
 
+#[test]
+fn the_last_connection_is_not_held_idle_for_calls_of_others() {
+    let mut stand = Stand::new();
+    let other = ClientId(2);
+    stand.offer(8, 3_000 * MS);
+    stand.answer(ONE, 8);
+    // Its connection goes, its call stands; the other one has a call that ends.
+    stand.core.client_closed(stand.now, CALLER);
+    stand.core.client_opened(stand.now, other, None);
+    stand.core.offer(stand.now, other, request(9, stand.now));
+    stand.answer(ONE, 9);
+    stand.end(ONE, 9, ReleaseCause::NORMAL);
+    stand.core.release_heard(stand.now, other, CallId(9));
+    let now = stand.now;
+    stand.core.on_duty(now, |duty| duty.standby(now)).expect("it does not stop");
+    let let_go = |done: Vec<(Micros, Effect)>| {
+        done.iter().any(|(_, effect)| matches!(effect, Effect::LetGo { client, .. } if *client == other))
+    };
+    assert!(!let_go(stand.pass_all(3_400 * MS)), "the release of 8 may come");
+    assert!(let_go(stand.pass_all(200 * MS)), "none is idle 4 s after the command");
+}
+
 #[test]
 fn one_that_was_replaced_takes_nothing_that_its_kill_could_find() {
     let mut stand = Stand::new();
