--- a/core/src/duty.rs
+++ b/core/src/duty.rs
@@ -16,8 +16,9 @@
 /// In standby no set-up is taken after this: what is left by then never falls quiet by itself, and 4 s after
 /// the command no connection may carry a set-up of the last 2 s.
 const LAST_TAKEN: Micros = 1_900_000;
-/// The last connection stays for calls of others until this; 4 s after the command none may be idle.
-const FOR_OTHERS: Micros = 3_500_000;
+/// The last connection stays for calls of others until this: 4 s after the command none may be idle, and what
+/// ends in between has 1 s to be told, for which clients are back in time.
+const FOR_OTHERS: Micros = 3_850_000;
 /// One that was replaced is killed 0.7 s after the longest deadline: what it takes by now has its answer by
 /// then, and a caller that is refused is served by the other.
 const LAST_TAKEN_REPLACED: Micros = 600_000;
