Count the benches' processor time in nanoseconds, and give its ratios anew

Change: the thread's schedstat; pairs in turning order and the median of their ratios; what only benches use stands beside them.

--- a/agent/benches/fronts.rs
+++ b/agent/benches/fronts.rs
@@ -13,12 +13,12 @@
 use std::time::Instant;
 
 use common::*;
-use load::make_calls;
+use load::{make_calls, processor};
 
-const CALLS: u32 = 20_000;
+const CALLS: u32 = 100_000;
 /// Calls that are open at once.
 const OPEN: u32 = 64;
-const ROUNDS: usize = 3;
+const ROUNDS: usize = 5;
 
 fn main() {
     let mut figures = [Vec::new(), Vec::new()];
@@ -32,11 +32,11 @@
         let mut agent = setting.start();
         let m3ua: SocketAddr = agent.logged("serving M3UA on ").parse().expect("an address");
         for (place, run) in [platform(agent.address), signalling(m3ua)].into_iter().enumerate() {
-            let before = agent.processor();
+            let before = processor(&agent);
             let start = Instant::now();
             run();
             let took = start.elapsed().as_secs_f64();
-            let processor = agent.processor() - before;
+            let processor = processor(&agent) - before;
             figures[place].push((f64::from(CALLS) / took, processor * 1e6 / f64::from(CALLS)));
         }
     }
--- a/agent/benches/load/mod.rs
+++ b/agent/benches/load/mod.rs
@@ -23,3 +23,10 @@
     let kib = line.trim().trim_end_matches(" kB").trim();
     kib.parse::<usize>().expect("a number") * 1024
 }
+
+/// Seconds of processor time that its one thread has used.
+pub fn processor(agent: &Agent) -> f64 {
+    // In nanoseconds; the ticks of `stat` are too coarse for runs of a second.
+    let text = std::fs::read_to_string(format!("/proc/{}/schedstat", agent.id())).expect("it runs");
+    text.split(' ').next().expect("figures").parse::<f64>().expect("a number") / 1e9
+}
--- a/agent/benches/ops.rs
+++ b/agent/benches/ops.rs
@@ -14,12 +14,12 @@
 use std::time::{Duration, Instant};
 
 use common::*;
-use load::{make_calls, memory};
+use load::{make_calls, memory, processor};
 
 const CALLS: u64 = 100_000;
 /// Calls that are open at once.
 const OPEN: u64 = 64;
-const ROUNDS: u64 = 5;
+const ROUNDS: u64 = 9;
 /// Connections whose memory is measured, of either kind; the program lets go of them after 2 s.
 const CONNECTIONS: usize = 400;
 /// The front asks ten times a second whether we are ready, and the figures are fetched every second.
@@ -27,19 +27,22 @@
 
 fn main() {
     memory_a_connection();
-    let (mut off, mut on, mut waits) = (Vec::new(), Vec::new(), Vec::new());
+    let (mut ratios, mut waits) = (Vec::new(), Vec::new());
     for round in 0..ROUNDS {
-        off.push(processor_a_call(false, &mut waits));
-        on.push(processor_a_call(true, &mut waits));
-        let (without, with) = (off[off.len() - 1], on[on.len() - 1]);
+        // Neither always goes first, so that a machine that changes pace favours none.
+        let first = processor_a_call(round % 2 == 0, &mut waits);
+        let second = processor_a_call(round % 2 != 0, &mut waits);
+        let (with, without) = if round % 2 == 0 { (first, second) } else { (second, first) };
         println!("round {round}: {without:.2} us of processor a call without, {with:.2} us with");
+        ratios.push(with / without);
     }
-    let median = |mut figures: Vec<f64>| {
-        figures.sort_by(f64::total_cmp);
-        figures[figures.len() / 2]
-    };
-    let (without, with) = (median(off), median(on));
-    println!("with / without: {:.3} of the processor time a call, by the medians", with / without);
+    ratios.sort_by(f64::total_cmp);
+    let middle = ratios[ratios.len() / 2];
+    println!(
+        "with / without: {middle:.3} of the processor time a call, the median of {:.3} to {:.3}",
+        ratios[0],
+        ratios[ratios.len() - 1]
+    );
     waits.sort();
     let part = |part: f64| waits[((waits.len() - 1) as f64 * part) as usize].as_secs_f64() * 1e3;
     println!(
@@ -100,9 +103,9 @@
         })
     });
     let mut caller = agent.caller();
-    let before = agent.processor();
+    let before = processor(&agent);
     make_calls(&mut caller, CALLS, OPEN);
-    let used = agent.processor() - before;
+    let used = processor(&agent) - before;
     over.store(true, Ordering::Relaxed);
     if let Some(asking) = asking {
         waits.extend(asking.join().expect("it was answered each time"));
--- a/agent/tests/common/mod.rs
+++ b/agent/tests/common/mod.rs
@@ -143,15 +143,6 @@
         std::fs::read_dir(format!("/proc/{}/fd", self.child.id())).expect("it runs").count()
     }
 
-    /// Seconds of processor time that it has used.
-    pub fn processor(&self) -> f64 {
-        let text = std::fs::read_to_string(format!("/proc/{}/stat", self.child.id())).expect("it runs");
-        let (_, fields) = text.rsplit_once(") ").expect("a name in parentheses");
-        // utime and stime, in ticks of 10 ms.
-        fields.split(' ').skip(11).take(2).map(|ticks| ticks.parse::<f64>().expect("a number")).sum::<f64>()
-            / 100.0
-    }
-
     pub fn signal(&self, name: &str) {
         let done = Command::new("kill").args([&format!("-{name}"), &self.child.id().to_string()]).status();
         assert!(done.expect("kill runs").success());
