--- a/agent/src/cli.rs
+++ b/agent/src/cli.rs
@@ -9,6 +9,8 @@
 
 use crate::config::{read_toml, Config, ConfigError, FileError};
 use crate::conformance::{self, ConformanceError, Wanted};
+use crate::fleet::command::Fleet;
+use crate::fleet::config::{FleetConfig, FleetConfigError};
 use crate::front::m3ua::{M3uaConfig, M3uaConfigError};
 use crate::serve;
 use crate::snmp::SnmpConfig;
@@ -26,6 +28,7 @@
     Serve(Serve),
     CheckConfig(CheckConfig),
     Conformance(Conformance),
+    Fleet(Fleet),
     Version(Version),
 }
 
@@ -42,6 +45,9 @@
     /// answer SNMP too, as this file says
     #[argh(option)]
     snmp: Option<PathBuf>,
+    /// be a member of the fleet that this file describes
+    #[argh(option)]
+    fleet: Option<PathBuf>,
 }
 
 /// Read the configuration and say what is wrong with it, or what it holds.
@@ -57,6 +63,9 @@
     /// read the file of the SNMP agent too
     #[argh(option)]
     snmp: Option<PathBuf>,
+    /// read the file of the fleet too
+    #[argh(option)]
+    fleet: Option<PathBuf>,
 }
 
 /// Run the M3UA and ISUP conformance suite against a peer on a loopback address.
@@ -93,6 +102,8 @@
     M3ua(#[from] M3uaConfigError),
     #[error("configuration: {0}")]
     File(#[from] FileError),
+    #[error("configuration: {0}")]
+    Fleet(#[from] FleetConfigError),
     #[error(transparent)]
     Conformance(#[from] ConformanceError),
     #[error(transparent)]
@@ -102,11 +113,15 @@
 }
 
 pub fn main() -> ExitCode {
-    let command: Command = argh::from_env();
+    let command: Command = match parse() {
+        Ok(command) => command,
+        Err(code) => return code,
+    };
     let done = match command.command {
         SubCommand::Serve(serve) => serve.run(),
         SubCommand::CheckConfig(check) => check.run(),
         SubCommand::Conformance(asked) => asked.run(),
+        SubCommand::Fleet(fleet) => return fleet.run(),
         SubCommand::Version(Version {}) => {
             println!("steprelay {}", env!("CARGO_PKG_VERSION"));
             Ok(())
@@ -121,14 +136,31 @@
     }
 }
 
+/// The command line, or the exit code where there is none: 2 for wrong use of `fleet`, which scripts call.
+fn parse() -> Result<Command, ExitCode> {
+    let words: Vec<String> = std::env::args_os().map(|word| word.to_string_lossy().into_owned()).collect();
+    let rest: Vec<&str> = words.iter().skip(1).map(String::as_str).collect();
+    Command::from_args(&["steprelay"], &rest).map_err(|exit| match exit.status {
+        Ok(()) => {
+            println!("{}", exit.output);
+            ExitCode::SUCCESS
+        }
+        Err(()) => {
+            eprintln!("{}\nRun steprelay --help for more information.", exit.output);
+            ExitCode::from(if rest.first() == Some(&"fleet") { 2 } else { 1 })
+        }
+    })
+}
+
 impl Serve {
     fn run(self) -> Result<(), Error> {
         let config = Config::load(self.config.as_deref())?;
         let m3ua = self.m3ua.as_deref().map(|path| M3uaConfig::load(path, &config.site)).transpose()?;
         let snmp = self.snmp.as_deref().map(read_toml).transpose()?;
+        let fleet = self.fleet.as_deref().map(FleetConfig::load).transpose()?;
         let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
         let local = tokio::task::LocalSet::new();
-        Ok(local.block_on(&runtime, serve::serve(config, self.config, m3ua, snmp))?)
+        Ok(local.block_on(&runtime, serve::serve(config, self.config, m3ua, snmp, fleet))?)
     }
 }
 
@@ -168,6 +200,17 @@
             let snmp: SnmpConfig = read_toml(&path)?;
             println!("SNMP: answers on {}", snmp.listen);
         }
+        if let Some(path) = self.fleet {
+            let fleet = FleetConfig::load(&path)?;
+            println!(
+                "fleet: {} of {} in zone {}, listens on {}, founded by {}",
+                fleet.name,
+                fleet.cluster,
+                fleet.zone,
+                fleet.listen,
+                fleet.founders.join(", ")
+            );
+        }
         Ok(())
     }
 }
--- /dev/null
+++ b/agent/src/fleet/command.rs
@@ -0,0 +1,431 @@
+//! `steprelay fleet`: staff's commands, and what they print. Exit code 0 for done, 1 for refused or not
+//! possible now, 2 for wrong use.
+
+use std::path::PathBuf;
+use std::process::ExitCode;
+use std::time::{Duration, Instant};
+
+use argh::FromArgs;
+use comfy_table::presets::NOTHING;
+use comfy_table::Table;
+use steprelay_fleet::Millis;
+
+use super::config::{check_name, FleetConfig, FleetConfigError};
+use super::control::{ask, ControlError, MemberRow, Request, Response, WorkRow};
+
+/// A script that waits asks so often.
+const LOOK_EVERY: Duration = Duration::from_millis(200);
+/// A program that is being started again, or a council without a leader for a while, is waited for so long.
+const NOT_THERE: Duration = Duration::from_secs(30);
+
+/// Ask and command the fleet, by way of the call agent of a file on this machine.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "fleet")]
+pub struct Fleet {
+    /// the file that the call agent serves the fleet with
+    #[argh(option)]
+    fleet: PathBuf,
+    #[argh(subcommand)]
+    command: FleetCommand,
+}
+
+#[derive(FromArgs)]
+#[argh(subcommand)]
+enum FleetCommand {
+    Members(Members),
+    Work(Work),
+    Roll(Roll),
+    Explain(Explain),
+    Forget(Forget),
+    Refound(Refound),
+}
+
+/// List the members and how they are.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "members")]
+struct Members {
+    /// print JSON in place of a table
+    #[argh(switch)]
+    json: bool,
+}
+
+/// Work on machines.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "work")]
+struct Work {
+    #[argh(subcommand)]
+    command: WorkCommand,
+}
+
+#[derive(FromArgs)]
+#[argh(subcommand)]
+enum WorkCommand {
+    Add(Add),
+    List(List),
+    Show(Show),
+    Withdraw(Withdraw),
+    Extend(Extend),
+    Done(Done),
+    Wait(Wait),
+}
+
+/// Say that a machine needs work: a call agent's by its name, a check server's by its id.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "add")]
+struct Add {
+    #[argh(positional)]
+    machine: String,
+    /// how long it may be out: 90s, 10m, 2h
+    #[argh(option, long = "for", from_str_fn(duration))]
+    for_: Millis,
+    /// why, for those who read the list
+    #[argh(option, default = "String::new()")]
+    reason: String,
+    /// a machine whose work must be over before; may be named more than once
+    #[argh(option)]
+    after: Vec<String>,
+    /// how long the request stands if nothing comes of it
+    #[argh(option, from_str_fn(duration))]
+    within: Option<Millis>,
+}
+
+/// List the work that was asked for and what became of it.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "list")]
+struct List {
+    /// print JSON in place of a table
+    #[argh(switch)]
+    json: bool,
+}
+
+/// Show the work on one machine.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "show")]
+struct Show {
+    #[argh(positional)]
+    machine: String,
+    /// print JSON in place of a table
+    #[argh(switch)]
+    json: bool,
+}
+
+/// Take a request back; a machine that is out returns.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "withdraw")]
+struct Withdraw {
+    #[argh(positional)]
+    machine: String,
+}
+
+/// Give a machine more time.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "extend")]
+struct Extend {
+    #[argh(positional)]
+    machine: String,
+    /// how much more: 90s, 10m, 2h
+    #[argh(option, long = "for", from_str_fn(duration))]
+    for_: Millis,
+}
+
+/// Say that the work is over: the machine returns.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "done")]
+struct Done {
+    #[argh(positional)]
+    machine: String,
+}
+
+/// Wait until a machine is out. Exit code 1 where it will not be.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "wait")]
+struct Wait {
+    #[argh(positional)]
+    machine: String,
+    /// give up after this: 90s, 10m, 2h
+    #[argh(option, from_str_fn(duration))]
+    within: Option<Millis>,
+}
+
+/// Say that all machines, or those of a zone, need work.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "roll")]
+struct Roll {
+    /// those of this zone
+    #[argh(option)]
+    zone: Option<String>,
+    /// all of them
+    #[argh(switch)]
+    all: bool,
+    /// how long each may be out: 90s, 10m, 2h
+    #[argh(option, long = "for", from_str_fn(duration), default = "600_000")]
+    for_: Millis,
+    /// why, for those who read the list
+    #[argh(option, default = "\"roll\".into()")]
+    reason: String,
+}
+
+/// Say why a machine has not been let go yet.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "explain")]
+struct Explain {
+    #[argh(positional)]
+    machine: String,
+}
+
+/// Say that a machine is gone for good: it counts as out no more.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "forget")]
+struct Forget {
+    #[argh(positional)]
+    machine: String,
+}
+
+/// Found a new council from what this member knows, where the majority of the old one is lost for good.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "refound")]
+struct Refound {}
+
+const RISK: &str = "\
+A new council is founded from what this member knows. What the old one agreed after that is lost: a machine \
+that it let go then is not counted as out. Should a majority of the old one come back, its members follow \
+the new one. Do this on one member only.";
+
+#[derive(Debug, thiserror::Error)]
+enum CommandError {
+    #[error("configuration: {0}")]
+    Config(#[from] FleetConfigError),
+    #[error(transparent)]
+    Control(#[from] ControlError),
+    #[error("{0}")]
+    Refused(String),
+    #[error("{0}")]
+    Usage(String),
+}
+
+/// A time as staff write it, in milliseconds.
+pub fn duration(text: &str) -> Result<Millis, String> {
+    let split = text.find(|c: char| !c.is_ascii_digit()).unwrap_or(text.len());
+    let (number, unit) = text.split_at(split);
+    let factor = match unit {
+        "ms" => 1,
+        "s" => 1_000,
+        "m" => 60_000,
+        "h" => 3_600_000,
+        "d" => 86_400_000,
+        _ => return Err(format!("'{text}' is no time: 90s, 10m, 2h")),
+    };
+    let number: Millis = number.parse().map_err(|_| format!("'{text}' is no time: 90s, 10m, 2h"))?;
+    match number.checked_mul(factor) {
+        Some(time) if time > 0 && time <= 366 * 86_400_000 => Ok(time),
+        _ => Err(format!("'{text}' is not between 1ms and a year")),
+    }
+}
+
+impl Fleet {
+    pub fn run(self) -> ExitCode {
+        match self.carry_out() {
+            Ok(()) => ExitCode::SUCCESS,
+            Err(error) => {
+                eprintln!("steprelay: {error}");
+                ExitCode::from(if matches!(error, CommandError::Usage(_)) { 2 } else { 1 })
+            }
+        }
+    }
+
+    fn carry_out(self) -> Result<(), CommandError> {
+        let config = FleetConfig::load(&self.fleet)?;
+        let ask = |request: Request| match ask(&config.directory, &request)? {
+            Response::Refused { why } => Err(CommandError::Refused(why)),
+            response => Ok(response),
+        };
+        match self.command {
+            FleetCommand::Members(Members { json }) => {
+                let members = members(ask(Request::Members)?);
+                if json {
+                    return print_json(&members);
+                }
+                let rows = members.into_iter().map(|row| {
+                    let part = match (row.leader, row.voter) {
+                        (true, _) => "leads",
+                        (false, true) => "votes",
+                        (false, false) => "",
+                    };
+                    vec![row.name, row.zone, row.state, part.into(), row.address]
+                });
+                print_table(["NAME", "ZONE", "STATE", "COUNCIL", "ADDRESS"], rows);
+            }
+            FleetCommand::Explain(Explain { machine }) => {
+                if let Response::Text { text } = ask(Request::Explain { machine })? {
+                    println!("{text}");
+                }
+            }
+            FleetCommand::Forget(Forget { machine }) => drop(ask(Request::Forget { machine })?),
+            FleetCommand::Refound(Refound {}) => {
+                println!("{RISK}");
+                ask(Request::Refound)?;
+            }
+            FleetCommand::Roll(roll) => return roll.run(ask),
+            FleetCommand::Work(Work { command }) => return command.run(ask),
+        }
+        Ok(())
+    }
+}
+
+impl Roll {
+    fn run(self, ask: impl Fn(Request) -> Result<Response, CommandError>) -> Result<(), CommandError> {
+        if self.all == self.zone.is_some() {
+            return Err(CommandError::Usage("name a zone with --zone, or say --all".into()));
+        }
+        let members = members(ask(Request::Members)?);
+        let wanted = |row: &&MemberRow| self.zone.as_ref().is_none_or(|zone| row.zone == *zone);
+        let names: Vec<&MemberRow> = members.iter().filter(wanted).collect();
+        if names.is_empty() {
+            return Err(CommandError::Refused("no member is in that zone".into()));
+        }
+        let mut refused = Vec::new();
+        for row in names {
+            let (machine, reason) = (row.name.clone(), self.reason.clone());
+            let request =
+                Request::Add { machine, for_ms: self.for_, reason, after: Vec::new(), within_ms: None };
+            match ask(request) {
+                Ok(_) => println!("{}: requested", row.name),
+                Err(CommandError::Refused(why)) => refused.push(format!("{}: {why}", row.name)),
+                Err(error) => return Err(error),
+            }
+        }
+        if refused.is_empty() {
+            return Ok(());
+        }
+        Err(CommandError::Refused(refused.join("\n")))
+    }
+}
+
+impl WorkCommand {
+    fn run(self, ask: impl Fn(Request) -> Result<Response, CommandError>) -> Result<(), CommandError> {
+        match self {
+            WorkCommand::Add(Add { machine, for_, reason, after, within }) => {
+                for name in after.iter().chain([&machine]) {
+                    check_name(name).map_err(CommandError::Usage)?;
+                }
+                ask(Request::Add { machine, for_ms: for_, reason, after, within_ms: within })?;
+            }
+            WorkCommand::Extend(Extend { machine, for_ }) => {
+                ask(Request::Extend { machine, more_ms: for_ })?;
+            }
+            WorkCommand::Withdraw(Withdraw { machine }) => drop(ask(Request::Withdraw { machine })?),
+            WorkCommand::Done(Done { machine }) => drop(ask(Request::Done { machine })?),
+            WorkCommand::List(List { json }) => show(work(ask(Request::Work)?), json)?,
+            WorkCommand::Show(Show { machine, json }) => {
+                let mut rows = work(ask(Request::Work)?);
+                rows.retain(|row| row.machine == machine);
+                if rows.is_empty() {
+                    return Err(CommandError::Refused(format!("no work on {machine} was asked for")));
+                }
+                show(rows, json)?;
+            }
+            WorkCommand::Wait(Wait { machine, within }) => return wait(&machine, within, ask),
+        }
+        Ok(())
+    }
+}
+
+fn wait(
+    machine: &str,
+    within: Option<Millis>,
+    ask: impl Fn(Request) -> Result<Response, CommandError>,
+) -> Result<(), CommandError> {
+    let started = Instant::now();
+    let mut answered = started;
+    loop {
+        match ask(Request::Work) {
+            Ok(response) => {
+                answered = Instant::now();
+                let row = work(response).into_iter().find(|row| row.machine == machine);
+                match row.as_ref().map_or("", |row| row.state.as_str()) {
+                    "out" => return Ok(()),
+                    "requested" | "granted" | "draining" => {}
+                    "" => {
+                        return Err(CommandError::Refused(format!("no work on {machine} was asked for")));
+                    }
+                    state => return Err(CommandError::Refused(format!("work on {machine} is {state}"))),
+                }
+            }
+            // The program may be on its way to come back; but not for ever.
+            Err(error) if answered.elapsed() >= NOT_THERE => return Err(error),
+            Err(CommandError::Control(_)) => {}
+            Err(error) => return Err(error),
+        }
+        if within.is_some_and(|within| started.elapsed() >= Duration::from_millis(within)) {
+            return Err(CommandError::Refused(format!("{machine} is not out yet")));
+        }
+        std::thread::sleep(LOOK_EVERY);
+    }
+}
+
+fn members(response: Response) -> Vec<MemberRow> {
+    match response {
+        Response::Members { members } => members,
+        _ => Vec::new(),
+    }
+}
+
+fn work(response: Response) -> Vec<WorkRow> {
+    match response {
+        Response::Work { work } => work,
+        _ => Vec::new(),
+    }
+}
+
+fn show(rows: Vec<WorkRow>, json: bool) -> Result<(), CommandError> {
+    if json {
+        return print_json(&rows);
+    }
+    let rows = rows.into_iter().map(|row| {
+        let due = match row.due_s {
+            Some(due) if due < 0 => format!("overdue for {} s", -due),
+            Some(due) => format!("due in {due} s"),
+            None => String::new(),
+        };
+        let grant = row.grant.map_or_else(String::new, |grant| grant.to_string());
+        vec![
+            row.machine,
+            row.state,
+            grant,
+            format!("{} s", row.since_s),
+            due,
+            row.after.join(" "),
+            row.reason,
+        ]
+    });
+    print_table(["MACHINE", "STATE", "GRANT", "FOR", "", "AFTER", "REASON"], rows);
+    Ok(())
+}
+
+fn print_json<T: serde::Serialize>(rows: &T) -> Result<(), CommandError> {
+    println!("{}", serde_json::to_string_pretty(rows).map_err(ControlError::NotJson)?);
+    Ok(())
+}
+
+fn print_table<const N: usize>(head: [&str; N], rows: impl Iterator<Item = Vec<String>>) {
+    let mut table = Table::new();
+    table.load_preset(NOTHING).set_header(head).add_rows(rows);
+    println!("{table}");
+}
+
+#[cfg(test)]
+mod tests {
+    use super::duration;
+
+    #[test]
+    fn times_are_read_as_staff_write_them() {
+        for (text, time) in
+            [("10m", 600_000), ("90s", 90_000), ("2h", 7_200_000), ("250ms", 250), ("1d", 86_400_000)]
+        {
+            assert_eq!(duration(text), Ok(time));
+        }
+        for text in ["", "10", "m", "-1s", "0s", "1.5h", "10 m", "99999999999999999999s", "400d"] {
+            assert!(duration(text).is_err(), "{text}");
+        }
+    }
+}
--- /dev/null
+++ b/agent/src/fleet/config.rs
@@ -0,0 +1,280 @@
+//! The file that `--fleet` names: the same for all members of a fleet, but for their names and addresses.
+
+use std::net::SocketAddr;
+use std::ops::Range;
+use std::path::{Path, PathBuf};
+
+use serde::Deserialize;
+use steprelay_fleet::order::Limits;
+use steprelay_fleet::Millis;
+use toml::Spanned;
+
+/// A name of a cluster, a member or a zone, at most.
+const LONGEST_NAME: usize = 64;
+/// Seeds and founders, at most.
+const MOST_SEEDS: usize = 64;
+const MOST_FOUNDERS: usize = 5;
+/// A fleet that must be calm for longer than a day before a grant never grants.
+const LONGEST_CALM: f64 = 86_400.0;
+
+#[derive(Debug, thiserror::Error)]
+pub enum FleetConfigError {
+    #[error("{}: {error}", path.display())]
+    Unreadable { path: PathBuf, error: std::io::Error },
+    #[error("{}: {error}", path.display())]
+    NotToml { path: PathBuf, error: Box<toml::de::Error> },
+    #[error("{}, line {line}, {key}: {why}", path.display())]
+    Wrong { path: PathBuf, line: usize, key: &'static str, why: String },
+}
+
+/// What the file says, checked.
+#[derive(Clone, Debug)]
+pub struct FleetConfig {
+    pub cluster: String,
+    pub name: String,
+    pub zone: String,
+    pub listen: SocketAddr,
+    /// Where others reach this member, if that is not where it listens.
+    pub advertise: Option<SocketAddr>,
+    pub seeds: Vec<SocketAddr>,
+    pub founders: Vec<String>,
+    /// For what must last. Relative to the file.
+    pub directory: PathBuf,
+    pub limits: Limits,
+    /// Set-ups a second that this call agent can take; 0 where that is not known.
+    pub capacity_milli: u64,
+}
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct Raw {
+    cluster: Spanned<String>,
+    name: Spanned<String>,
+    #[serde(default = "no_zone")]
+    zone: Spanned<String>,
+    listen: Spanned<String>,
+    advertise: Option<Spanned<String>>,
+    #[serde(default = "none")]
+    seeds: Spanned<Vec<String>>,
+    founders: Spanned<Vec<String>>,
+    directory: Spanned<PathBuf>,
+    #[serde(default)]
+    beyond_loopback: bool,
+    #[serde(default)]
+    work: RawWork,
+}
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields, default)]
+struct RawWork {
+    most_out: Spanned<u32>,
+    reserve: Spanned<f64>,
+    calm_s: Spanned<f64>,
+    capacity: Spanned<f64>,
+}
+
+impl Default for RawWork {
+    fn default() -> Self {
+        RawWork {
+            most_out: Spanned::new(0..0, 1),
+            reserve: Spanned::new(0..0, 0.2),
+            calm_s: Spanned::new(0..0, 30.0),
+            capacity: Spanned::new(0..0, 0.0),
+        }
+    }
+}
+
+fn no_zone() -> Spanned<String> {
+    Spanned::new(0..0, "default".into())
+}
+
+fn none() -> Spanned<Vec<String>> {
+    Spanned::new(0..0, Vec::new())
+}
+
+/// Where something is wrong in a text that was read.
+struct Checker<'a> {
+    path: &'a Path,
+    text: &'a str,
+}
+
+impl Checker<'_> {
+    fn wrong(&self, span: Range<usize>, key: &'static str, why: impl Into<String>) -> FleetConfigError {
+        let line = 1 + self.text.bytes().take(span.start).filter(|byte| *byte == b'\n').count();
+        FleetConfigError::Wrong { path: self.path.into(), line, key, why: why.into() }
+    }
+
+    fn name(&self, name: &Spanned<String>, key: &'static str) -> Result<String, FleetConfigError> {
+        check_name(name.get_ref()).map_err(|why| self.wrong(name.span(), key, why))?;
+        Ok(name.get_ref().clone())
+    }
+
+    fn address(
+        &self,
+        text: &str,
+        span: Range<usize>,
+        key: &'static str,
+        anywhere: bool,
+    ) -> Result<SocketAddr, FleetConfigError> {
+        let address: SocketAddr = text.parse().map_err(|_| {
+            self.wrong(span.clone(), key, format!("'{}' is no address with a port", text.escape_debug()))
+        })?;
+        if !anywhere && !address.ip().is_loopback() {
+            let why = format!("{address} is no loopback address; beyond_loopback = true allows it");
+            return Err(self.wrong(span, key, why));
+        }
+        Ok(address)
+    }
+
+    /// A figure between two bounds.
+    fn figure(&self, figure: &Spanned<f64>, key: &'static str, most: f64) -> Result<f64, FleetConfigError> {
+        let value = *figure.get_ref();
+        if (0.0..=most).contains(&value) {
+            return Ok(value);
+        }
+        Err(self.wrong(figure.span(), key, format!("{value} is not between 0 and {most}")))
+    }
+}
+
+/// Whether a name can be one of a member, a zone or a cluster.
+pub fn check_name(name: &str) -> Result<(), String> {
+    let fits = |c: char| c.is_ascii_alphanumeric() || matches!(c, '-' | '_' | '.');
+    if name.is_empty() || name.len() > LONGEST_NAME || !name.chars().all(fits) {
+        return Err(format!(
+            "'{}' is no name: 1 to {LONGEST_NAME} letters, digits, '-', '_' or '.'",
+            name.escape_debug()
+        ));
+    }
+    Ok(())
+}
+
+/// The number of a check server by the name that the platform gives it, `s-0000000a`.
+pub fn server_number(name: &str) -> Option<u32> {
+    let hex = name.strip_prefix("s-").filter(|hex| (1..=8).contains(&hex.len()))?;
+    u32::from_str_radix(hex, 16).ok()
+}
+
+impl FleetConfig {
+    /// Reads and checks the file.
+    ///
+    /// # Errors
+    /// It can't be read, or something in it is wrong; the error names the file, the line and the key.
+    pub fn load(path: &Path) -> Result<Self, FleetConfigError> {
+        let text = std::fs::read_to_string(path)
+            .map_err(|error| FleetConfigError::Unreadable { path: path.into(), error })?;
+        Self::read(path, &text)
+    }
+
+    fn read(path: &Path, text: &str) -> Result<Self, FleetConfigError> {
+        let raw: Raw = toml::from_str(text)
+            .map_err(|error| FleetConfigError::NotToml { path: path.into(), error: Box::new(error) })?;
+        let check = Checker { path, text };
+        let anywhere = raw.beyond_loopback;
+        let name = check.name(&raw.name, "name")?;
+        if server_number(&name).is_some() {
+            return Err(check.wrong(raw.name.span(), "name", format!("'{name}' names a check server")));
+        }
+        let one =
+            |address: &Spanned<String>, key| check.address(address.get_ref(), address.span(), key, anywhere);
+        let seeds = raw.seeds.get_ref();
+        if seeds.len() > MOST_SEEDS {
+            return Err(check.wrong(raw.seeds.span(), "seeds", format!("more than {MOST_SEEDS}")));
+        }
+        let founders = raw.founders.get_ref();
+        let named = |why: String| check.wrong(raw.founders.span(), "founders", why);
+        if founders.is_empty() || founders.len() > MOST_FOUNDERS {
+            return Err(named(format!("1 to {MOST_FOUNDERS} names, best 3 or 5")));
+        }
+        for (place, founder) in founders.iter().enumerate() {
+            check_name(founder).map_err(named)?;
+            if founders[..place].contains(founder) {
+                return Err(named(format!("'{founder}' stands twice")));
+            }
+        }
+        if raw.directory.get_ref().as_os_str().is_empty() {
+            return Err(check.wrong(raw.directory.span(), "directory", "no directory is named"));
+        }
+        let work = &raw.work;
+        if *work.most_out.get_ref() == 0 {
+            return Err(check.wrong(work.most_out.span(), "work.most_out", "0 would never let a machine go"));
+        }
+        Ok(FleetConfig {
+            cluster: check.name(&raw.cluster, "cluster")?,
+            zone: check.name(&raw.zone, "zone")?,
+            listen: one(&raw.listen, "listen")?,
+            advertise: raw.advertise.as_ref().map(|address| one(address, "advertise")).transpose()?,
+            seeds: seeds
+                .iter()
+                .map(|seed| check.address(seed, raw.seeds.span(), "seeds", anywhere))
+                .collect::<Result<_, _>>()?,
+            founders: founders.clone(),
+            directory: path.parent().unwrap_or(Path::new("")).join(raw.directory.get_ref()),
+            limits: Limits {
+                most_out: *work.most_out.get_ref(),
+                reserve: check.figure(&work.reserve, "work.reserve", 100.0)?,
+                calm_ms: (check.figure(&work.calm_s, "work.calm_s", LONGEST_CALM)? * 1000.0) as Millis,
+            },
+            capacity_milli: (check.figure(&work.capacity, "work.capacity", 1e9)? * 1000.0) as u64,
+            name,
+        })
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const GOOD: &str = r#"cluster = "kl"
+name = "n1"
+zone = "z1"
+listen = "127.0.0.1:7801"
+seeds = ["127.0.0.2:7801"]
+founders = ["n1", "n2", "n3"]
+directory = "state"
+
+[work]
+most_out = 1
+reserve = 1
+calm_s = 2.5
+"#;
+
+    #[test]
+    fn a_good_file_is_read_with_its_bounds() {
+        let config = FleetConfig::read(Path::new("/etc/fleet/n1.toml"), GOOD).expect("good");
+        assert_eq!(config.directory, Path::new("/etc/fleet/state"));
+        assert_eq!(config.limits, Limits { most_out: 1, reserve: 1.0, calm_ms: 2_500 });
+        let short = GOOD.split("[work]").next().expect("a part");
+        let config = FleetConfig::read(Path::new("n1.toml"), short).expect("defaults");
+        assert_eq!(config.limits, Limits { most_out: 1, reserve: 0.2, calm_ms: 30_000 });
+    }
+
+    #[test]
+    fn what_is_wrong_names_its_file_line_and_key() {
+        for (from, to, said) in [
+            ("\"kl\"", "\"\"", "f.toml, line 1, cluster: '' is no name"),
+            ("\"n1\"\nzone", "\"s-0a\"\nzone", "f.toml, line 2, name: 's-0a' names a check server"),
+            ("\"127.0.0.1:7801\"", "\"here\"", "f.toml, line 4, listen: 'here' is no address with a port"),
+            ("\"127.0.0.1:7801\"", "\"10.0.0.1:1\"", "f.toml, line 4, listen: 10.0.0.1:1 is no loopback"),
+            ("[\"127.0.0.2:7801\"]", "[\"x\"]", "f.toml, line 5, seeds: 'x' is no address"),
+            ("\"n2\", \"n3\"", "\"n1\"", "f.toml, line 6, founders: 'n1' stands twice"),
+            ("[\"n1\", \"n2\", \"n3\"]", "[]", "f.toml, line 6, founders: 1 to 5 names"),
+            ("\"state\"", "\"\"", "f.toml, line 7, directory: no directory"),
+            ("most_out = 1", "most_out = 0", "f.toml, line 10, work.most_out: 0 would"),
+            ("reserve = 1", "reserve = -1", "f.toml, line 11, work.reserve: -1 is not between"),
+            ("calm_s = 2.5", "calm_s = 1e9", "f.toml, line 12, work.calm_s: 1000000000 is not"),
+            ("calm_s = 2.5", "calm = 2.5", "line 12"),
+        ] {
+            assert!(GOOD.contains(from), "{from}");
+            let text = GOOD.replacen(from, to, 1);
+            let error = FleetConfig::read(Path::new("f.toml"), &text).expect_err(said).to_string();
+            assert!(error.contains(said), "{error} does not say {said}");
+        }
+    }
+
+    #[test]
+    fn check_servers_have_names_of_their_own() {
+        assert_eq!(server_number("s-0000000a"), Some(10));
+        assert_eq!(server_number("s-"), None);
+        assert_eq!(server_number("n1"), None);
+    }
+}
--- /dev/null
+++ b/agent/src/fleet/store.rs
@@ -0,0 +1,213 @@
+//! What a member keeps on its disk, in one file of the engine `redb`. What comes between two sends goes
+//! into one transaction, which is on disk before the second is made.
+
+use std::path::{Path, PathBuf};
+
+use redb::{Database, ReadableTable, TableDefinition};
+use steprelay_fleet::council::{Kept, Write};
+use steprelay_fleet::node::Page;
+
+/// Entries of the council's log, by index.
+const LOG: TableDefinition<u64, &[u8]> = TableDefinition::new("log");
+/// `hard`, `snapshot`, `page` and `about`.
+const PAGES: TableDefinition<&str, &[u8]> = TableDefinition::new("pages");
+/// The version of this layout.
+const LAYOUT: &str = "1";
+
+#[derive(Debug, thiserror::Error)]
+pub enum StoreError {
+    #[error("{}: {error}", path.display())]
+    Directory { path: PathBuf, error: std::io::Error },
+    #[error("{}: {error}", path.display())]
+    Unusable { path: PathBuf, error: Box<redb::Error> },
+    #[error("{}: it is of {found}, not of {wanted}", path.display())]
+    NotOurs { path: PathBuf, found: String, wanted: String },
+    #[error("{}: its page can't be read", path.display())]
+    Spoilt { path: PathBuf },
+}
+
+/// What is to be on disk next.
+pub enum Change {
+    Log(Write),
+    Page(Box<Page>),
+    /// The log is another one.
+    Renew(Box<Page>, Option<Write>),
+}
+
+pub struct Store {
+    path: PathBuf,
+    database: Database,
+}
+
+impl Store {
+    /// Opens the directory's file, or makes both. A new one begins with `first`.
+    ///
+    /// # Errors
+    /// It can't be used, or belongs to another cluster or member.
+    pub fn open(
+        directory: &Path,
+        cluster: &str,
+        name: &str,
+        first: impl FnOnce() -> Page,
+    ) -> Result<(Self, Page, Kept), StoreError> {
+        std::fs::create_dir_all(directory)
+            .map_err(|error| StoreError::Directory { path: directory.into(), error })?;
+        let path = directory.join("fleet.redb");
+        let unusable =
+            |error: redb::Error| StoreError::Unusable { path: path.clone(), error: Box::new(error) };
+        let database = Database::create(&path).map_err(|error| unusable(error.into()))?;
+        let store = Store { path: path.clone(), database };
+        let wanted = format!("cluster {cluster}, member {name}, layout {LAYOUT}");
+        let (about, page) = store.pages().map_err(unusable)?;
+        if let Some(found) = about.filter(|found| *found != wanted) {
+            return Err(StoreError::NotOurs { path, found, wanted });
+        }
+        let page = match page {
+            Some(bytes) => Page::from_bytes(&bytes).ok_or(StoreError::Spoilt { path: path.clone() })?,
+            None => first(),
+        };
+        let kept = store.begin(&wanted).map_err(unusable)?;
+        Ok((store, page, kept))
+    }
+
+    fn pages(&self) -> Result<(Option<String>, Option<Vec<u8>>), redb::Error> {
+        let transaction = self.database.begin_write()?;
+        let found = {
+            let pages = transaction.open_table(PAGES)?;
+            let about = pages.get("about")?.map(|about| String::from_utf8_lossy(about.value()).into_owned());
+            let page = pages.get("page")?.map(|page| page.value().to_vec());
+            (about, page)
+        };
+        transaction.commit()?;
+        Ok(found)
+    }
+
+    fn begin(&self, about: &str) -> Result<Kept, redb::Error> {
+        let transaction = self.database.begin_write()?;
+        let mut kept = Kept::default();
+        {
+            let mut pages = transaction.open_table(PAGES)?;
+            pages.insert("about", about.as_bytes())?;
+            let of = |name| {
+                Ok::<_, redb::Error>(pages.get(name)?.map_or(Vec::new(), |page| page.value().to_vec()))
+            };
+            (kept.hard, kept.snapshot) = (of("hard")?, of("snapshot")?);
+            let log = transaction.open_table(LOG)?;
+            for entry in log.iter()? {
+                kept.entries.push(entry?.1.value().to_vec());
+            }
+        }
+        transaction.commit()?;
+        Ok(kept)
+    }
+
+    /// Has all of it on disk when it returns.
+    ///
+    /// # Errors
+    /// The disk refuses. What was to be said after this must not be said.
+    pub fn write(&self, changes: Vec<Change>) -> Result<(), StoreError> {
+        let done = self.carry_out(changes);
+        done.map_err(|error| StoreError::Unusable { path: self.path.clone(), error: Box::new(error) })
+    }
+
+    fn carry_out(&self, changes: Vec<Change>) -> Result<(), redb::Error> {
+        let transaction = self.database.begin_write()?;
+        {
+            let mut pages = transaction.open_table(PAGES)?;
+            let mut log = transaction.open_table(LOG)?;
+            for change in changes {
+                let write = match change {
+                    Change::Log(write) => Some(write),
+                    Change::Page(page) => {
+                        pages.insert("page", page.to_bytes().as_slice())?;
+                        None
+                    }
+                    Change::Renew(page, write) => {
+                        pages.insert("page", page.to_bytes().as_slice())?;
+                        pages.remove("hard")?;
+                        pages.remove("snapshot")?;
+                        log.retain(|_, _| false)?;
+                        write
+                    }
+                };
+                match write {
+                    Some(Write::Hard(bytes)) => {
+                        pages.insert("hard", bytes.as_slice())?;
+                    }
+                    Some(Write::Entries(entries)) => {
+                        if let Some((first, _)) = entries.first() {
+                            log.retain_in::<u64, _>(*first.., |_, _| false)?;
+                        }
+                        for (index, bytes) in entries {
+                            log.insert(index, bytes.as_slice())?;
+                        }
+                    }
+                    Some(Write::Snapshot { index, bytes, whole }) => {
+                        pages.insert("snapshot", bytes.as_slice())?;
+                        if whole {
+                            log.retain(|_, _| false)?;
+                        } else {
+                            log.retain_in::<u64, _>(..=index, |_, _| false)?;
+                        }
+                    }
+                    None => {}
+                }
+            }
+        }
+        transaction.commit()?;
+        Ok(())
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn directory(name: &str) -> PathBuf {
+        let path = std::env::temp_dir().join(format!("steprelay-store-{}-{name}", std::process::id()));
+        let _ = std::fs::remove_dir_all(&path);
+        path
+    }
+
+    #[test]
+    fn what_was_written_is_there_at_the_next_start() {
+        let path = directory("next");
+        let first = || Page::first(7);
+        let (store, mut page, _) = Store::open(&path, "kl", "n1", first).expect("opens");
+        assert_eq!(page.node, 7);
+        page.life = 3;
+        let entries = (1..=5).map(|index| (index, vec![index as u8])).collect();
+        let over = vec![(4, vec![44])];
+        store
+            .write(vec![
+                Change::Page(Box::new(page)),
+                Change::Log(Write::Hard(vec![9])),
+                Change::Log(Write::Entries(entries)),
+                Change::Log(Write::Entries(over)),
+                Change::Log(Write::Snapshot { index: 2, bytes: vec![2], whole: false }),
+            ])
+            .expect("written");
+        drop(store);
+        let (store, page, kept) = Store::open(&path, "kl", "n1", || Page::first(8)).expect("opens again");
+        assert_eq!((page.node, page.life), (7, 3));
+        assert_eq!((kept.hard, kept.snapshot, kept.entries), (vec![9], vec![2], vec![vec![3], vec![44]]));
+        let renewed = Change::Renew(Box::new(Page::first(9)), None);
+        store.write(vec![renewed]).expect("written");
+        drop(store);
+        let (_, page, kept) = Store::open(&path, "kl", "n1", || Page::first(8)).expect("opens again");
+        assert_eq!((page.node, kept.hard.len(), kept.snapshot.len(), kept.entries.len()), (9, 0, 0, 0));
+        let _ = std::fs::remove_dir_all(&path);
+    }
+
+    #[test]
+    fn another_members_directory_is_refused() {
+        let path = directory("other");
+        let (store, ..) = Store::open(&path, "kl", "n1", || Page::first(7)).expect("opens");
+        let twice = Store::open(&path, "kl", "n1", || Page::first(7));
+        assert!(matches!(twice, Err(StoreError::Unusable { .. })), "two processes share no directory");
+        drop(store);
+        let other = Store::open(&path, "kl", "n2", || Page::first(8));
+        assert!(matches!(other, Err(StoreError::NotOurs { .. })));
+        let _ = std::fs::remove_dir_all(&path);
+    }
+}
--- a/agent/src/main.rs
+++ b/agent/src/main.rs
@@ -4,6 +4,7 @@
 mod cli;
 mod config;
 mod conformance;
+mod fleet;
 mod front;
 mod inherited;
 mod net;
--- a/agent/src/net/owner.rs
+++ b/agent/src/net/owner.rs
@@ -226,7 +226,12 @@
             | Input::Reported { .. }
             | Input::Tested { .. } => {}
             Input::Listed { source, kind, servers } => self.listed(source, kind, servers),
+            Input::Hold(servers) => {
+                self.core.hold(now, &servers);
+                self.leave_not_ready(now);
+            }
             Input::Snapshot(asked) => {
+                let held = self.core.held().map(|server| (server, self.core.is_busy(server))).collect();
                 let servers = self.core.servers(now).collect();
                 let (unanswered, standing) = (self.core.unanswered(), self.core.standing());
                 let counts = self.core.counts().clone();
@@ -240,6 +245,8 @@
                     targets_disabled,
                     tallies: self.shared.tallies.get(),
                     duty: self.core.duty().state(),
+                    held,
+                    fleet: self.shared.fleet.borrow().clone(),
                     servers,
                 });
             }
@@ -275,6 +282,12 @@
                 self.core.link_lost(now, entry.server, LinkLoss::Dropped);
             }
         }
+        self.leave_not_ready(now);
+    }
+
+    /// What waits for servers that are not ready any more is not sent there, and those that are gone are
+    /// let go.
+    fn leave_not_ready(&mut self, now: Micros) {
         let all: Vec<_> = self.core.servers(now).map(|(entry, ..)| (entry.server, entry.state)).collect();
         for (server, state) in all {
             if state == Readiness::Ready {
@@ -436,6 +449,7 @@
             calls: Rc::default(),
             unwritten: Rc::default(),
             tallies: Rc::default(),
+            fleet: Rc::default(),
         };
         let now = shared.clock.now();
         let core = Core::new(site, Bounds { connections: 8, connections_of_one: 8, bytes: 1 << 20 }, 7, now);
--- a/agent/src/ops/line.rs
+++ b/agent/src/ops/line.rs
@@ -2,6 +2,8 @@
 
 use steprelay_core::duty::State;
 
+use steprelay_fleet::node::Figures as FleetFigures;
+
 use crate::ports::Snapshot;
 
 /// No command is longer.
@@ -84,10 +86,38 @@
     put("targets_disabled", figures.targets_disabled as u64);
     put("reloads.taken", figures.tallies.reloads_taken);
     put("reloads.refused", figures.tallies.reloads_refused);
+    if let Some(fleet) = &figures.fleet {
+        for (name, value) in fleet_figures(fleet) {
+            put(&format!("fleet.{name}"), value);
+        }
+    }
     text.push_str(".\n");
     text
 }
 
+/// The fleet's figures by their names, in the order of the MIB.
+pub fn fleet_figures(fleet: &FleetFigures) -> [(&'static str, u64); 17] {
+    [
+        ("alive", fleet.alive),
+        ("suspect", fleet.suspect),
+        ("dead", fleet.dead),
+        ("voters", fleet.voters),
+        ("has_leader", u64::from(fleet.leader.is_some())),
+        ("leads", u64::from(fleet.leads)),
+        ("council", fleet.foundation),
+        ("term", fleet.term),
+        ("index", fleet.index),
+        ("open", fleet.open),
+        ("out", fleet.out),
+        ("last_grant", fleet.last_grant),
+        ("fenced", fleet.fenced),
+        ("strange", fleet.strange),
+        ("slept_ms", fleet.slept_ms),
+        ("unsent", fleet.unsent),
+        ("octets", fleet.octets),
+    ]
+}
+
 #[cfg(test)]
 mod tests {
     use super::*;
--- a/agent/src/ports/mod.rs
+++ b/agent/src/ports/mod.rs
@@ -6,7 +6,7 @@
 pub mod pool;
 pub mod seldom;
 
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use std::rc::Rc;
 
@@ -15,6 +15,7 @@
     ClientId, Counts, LinkLoss, Peer, ReleaseCause, Request, ServerCounts, SetUp, Source, Verdict,
 };
 use steprelay_decisions::{CallId, Cause, Entry, ListKind, Report, ServerId};
+use steprelay_fleet::node::Figures as FleetFigures;
 use steprelay_settings::Site;
 use tokio::sync::{mpsc, oneshot};
 
@@ -179,6 +180,8 @@
         kind: ListKind,
         servers: Vec<(Entry, Way)>,
     },
+    /// Check servers that get no new set-ups until they are named no more: there is work on them.
+    Hold(Vec<ServerId>),
     /// The figures are asked for.
     Snapshot(oneshot::Sender<Snapshot>),
     /// Operators ask whether work is taken, or change it.
@@ -221,6 +224,8 @@
     /// Messages that are on their way through a front and not written yet.
     pub unwritten: Rc<Cell<usize>>,
     pub tallies: Rc<Cell<Tallies>>,
+    /// What is known of the fleet, where this call agent is a member of one.
+    pub fleet: Rc<RefCell<Option<FleetFigures>>>,
 }
 
 /// Counts as unwritten for as long as it is kept.
@@ -264,6 +269,10 @@
     pub targets_disabled: usize,
     pub tallies: Tallies,
     pub duty: duty::State,
+    /// Check servers that get no new set-ups, and whether calls stand or set-ups are out there.
+    pub held: Vec<(ServerId, bool)>,
+    /// What is known of the fleet.
+    pub fleet: Option<FleetFigures>,
     /// Each server with the bound of its image, if it has one.
     pub servers: Vec<(Entry, ServerCounts, Option<f64>)>,
 }
--- a/agent/src/serve.rs
+++ b/agent/src/serve.rs
@@ -17,6 +17,8 @@
 
 use crate::board;
 use crate::config::Config;
+use crate::fleet::config::FleetConfig;
+use crate::fleet::{Fleet, FleetError};
 use crate::front::m3ua::{self, KeptError, M3uaConfig};
 use crate::front::platform;
 use crate::net::owner::Owner;
@@ -40,6 +42,8 @@
     Io(#[from] io::Error),
     #[error("configuration: {0}")]
     Kept(#[from] KeptError),
+    #[error("configuration: {0}")]
+    Fleet(#[from] FleetError),
 }
 
 /// Serves until it is told to stop and all that was taken in is answered.
@@ -49,6 +53,7 @@
     file: Option<PathBuf>,
     m3ua: Option<M3uaConfig>,
     snmp: Option<SnmpConfig>,
+    fleet: Option<FleetConfig>,
 ) -> Result<(), ServeError> {
     let clock = Clock::start();
     let (inputs, queue) = mpsc::channel(INPUTS);
@@ -63,6 +68,7 @@
         calls,
         unwritten: Rc::default(),
         tallies: Rc::default(),
+        fleet: Rc::default(),
     };
     let m3ua = m3ua.map(|named| m3ua::start(named, shared.clone(), &config.name)).transpose()?;
     let mut terminate = signal(SignalKind::terminate())?;
@@ -102,6 +108,7 @@
     let (board, followed) = watch::channel(config.board);
     spawn_local(board::follow(followed, config.known.last, shared.clone()));
     spawn_local(reread(hangup, file, board, shared.clone()));
+    let fleet = fleet.map(|named| Fleet::start(named, shared.clone())).transpose()?;
     if let Some(address) = config.ops {
         let listener = TcpListener::bind(address).await?;
         eprintln!("steprelay: answering operators on {}", listener.local_addr()?);
@@ -123,6 +130,9 @@
     let serve = move |stream, number| platform::clients::serve(stream, number, shared.clone());
     spawn_local(accept(listener, config.bounds.connections + CLOSING, takes, serve));
     owner.run(queue).await;
+    if let Some(fleet) = fleet {
+        fleet.leave().await;
+    }
     Ok(())
 }
 
--- a/agent/tests/platform.rs
+++ b/agent/tests/platform.rs
@@ -380,6 +380,7 @@
     let mut command = std::process::Command::new(env!("CARGO_BIN_EXE_steprelay"));
     command.arg("check-config").arg("--config").arg(config);
     command.args(["--m3ua", &format!("{deploy}/m3ua.toml"), "--snmp", &format!("{deploy}/snmp.toml")]);
+    command.args(["--fleet", &format!("{deploy}/fleet.toml")]);
     let output = command.output().expect("it runs");
     assert!(output.status.success(), "{}", String::from_utf8_lossy(&output.stderr));
     insta::assert_snapshot!(String::from_utf8_lossy(&output.stdout));
--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -310,6 +310,25 @@
         self.book.keep_servers(|server| self.route.is_shown(server));
     }
 
+    /// Has no new set-ups sent to these servers, as if they were told to drain; all others are free again.
+    pub fn hold(&mut self, now: Micros, servers: &[ServerId]) {
+        let changes = self.route.hold(servers);
+        if !changes.is_empty() {
+            self.decide(now, Event::List { kind: ListKind::Changes, entries: &changes });
+        }
+    }
+
+    /// The servers that are held.
+    pub fn held(&self) -> impl Iterator<Item = ServerId> + '_ {
+        self.route.held()
+    }
+
+    /// Whether a call stands at a server or a set-up is out there.
+    pub fn is_busy(&self, server: ServerId) -> bool {
+        let out = |pending: &Pending| pending.out.is_some_and(|attempt| attempt.server == server);
+        self.stands_at(server) || self.pending.values().any(out)
+    }
+
     pub fn report(&mut self, now: Micros, server: ServerId, report: Report) {
         self.decide(now, Event::Probed { server, ok: true, lag: 0, report });
     }
--- a/core/src/route.rs
+++ b/core/src/route.rs
@@ -13,7 +13,10 @@
 
 pub struct Route {
     controller: Controller,
+    /// As they count: one that is held drains, whatever its place in the list says.
     entries: BTreeMap<ServerId, (Source, Entry)>,
+    /// Servers that are held, with what the list says of them (if it names them).
+    held: BTreeMap<ServerId, Option<Readiness>>,
     scratch: Vec<Action>,
 }
 
@@ -22,6 +25,7 @@
         Route {
             controller: Controller::new(site.decisions.clone(), seed, now),
             entries: BTreeMap::new(),
+            held: BTreeMap::new(),
             scratch: Vec::new(),
         }
     }
@@ -55,6 +59,39 @@
         self.controller.bound(now, server)
     }
 
+    /// Holds these servers and no others; returns the entries that changed by it.
+    pub fn hold(&mut self, servers: &[ServerId]) -> Vec<Entry> {
+        let mut changes = Vec::new();
+        let freed: Vec<ServerId> = self.held.keys().filter(|held| !servers.contains(held)).copied().collect();
+        for server in freed {
+            let told = self.held.remove(&server).flatten();
+            if let (Some(told), Some((_, entry))) = (told, self.entries.get_mut(&server)) {
+                if std::mem::replace(&mut entry.state, told) != told {
+                    changes.push(entry.clone());
+                }
+            }
+        }
+        for server in servers {
+            if self.held.contains_key(server) {
+                continue;
+            }
+            let told = self.entries.get_mut(server).map(|(_, entry)| {
+                let told = entry.state;
+                entry.state = drained(told);
+                if entry.state != told {
+                    changes.push(entry.clone());
+                }
+                told
+            });
+            self.held.insert(*server, told);
+        }
+        changes
+    }
+
+    pub fn held(&self) -> impl Iterator<Item = ServerId> + '_ {
+        self.held.keys().copied()
+    }
+
     /// Takes in a list; returns the entries that the decisions are told, and the servers whose process is
     /// over, with the time before which calls came to stand in it.
     pub fn merge(
@@ -77,6 +114,12 @@
             });
             changes.extend(missing.map(|(_, entry)| Entry { state: Readiness::Gone, ..entry.clone() }));
         }
+        for entry in &mut changes {
+            if let Some(told) = self.held.get_mut(&entry.server) {
+                *told = Some(entry.state);
+                entry.state = drained(entry.state);
+            }
+        }
         let mut over = Vec::new();
         for entry in &changes {
             let before = self.entries.insert(entry.server, (source, entry.clone()));
@@ -90,3 +133,11 @@
         (changes, over)
     }
 }
+
+/// How a server that is held counts, by what the list says of it.
+fn drained(told: Readiness) -> Readiness {
+    match told {
+        Readiness::Ready => Readiness::Draining,
+        other => other,
+    }
+}
--- a/core/src/tests.rs
+++ b/core/src/tests.rs
@@ -533,3 +533,32 @@
     let refused = Effect::Final { client: CALLER, call: CallId(4), verdict };
     assert_eq!(stand.offer(4, 3_000 * MS), [refused]);
 }
+
+#[test]
+fn a_server_that_is_held_gets_nothing_new_whatever_the_list_says() {
+    let mut stand = Stand::new();
+    assert_eq!(set_up_at(&stand.offer(1, 30_000 * MS)), Some(ONE));
+    stand.core.hold(stand.now, &[ONE]);
+    assert!(stand.core.is_busy(ONE), "an attempt is out there");
+    assert_eq!(set_up_at(&stand.offer(2, 3_000 * MS)), Some(TWO));
+    // The list repeats that it is ready, and that it drains; neither frees it.
+    for state in [Readiness::Ready, Readiness::Draining, Readiness::Ready] {
+        stand.list(&[(ONE, state)]);
+        stand.pass(1_000 * MS);
+        stand.end(TWO, 2, ReleaseCause::NORMAL);
+        assert_ne!(set_up_at(&stand.offer(3 + state as u64, 300 * MS)), Some(ONE), "{state:?}");
+    }
+    stand.answer(ONE, 1);
+    assert!(stand.core.is_busy(ONE), "a call stands there");
+    stand.end(ONE, 1, ReleaseCause::NORMAL);
+    assert!(!stand.core.is_busy(ONE));
+    stand.pass(3_000 * MS);
+    stand.core.hold(stand.now, &[]);
+    assert_eq!(set_up_at(&stand.offer(9, 3_000 * MS)), Some(ONE), "as the list said last");
+    stand.core.hold(stand.now, &[ONE]);
+    stand.list(&[(ONE, Readiness::Gone)]);
+    stand.core.hold(stand.now, &[]);
+    assert_eq!(stand.core.held().count(), 0);
+    assert_eq!(set_up_at(&stand.offer(10, 3_000 * MS)), Some(TWO), "one that is gone does not come back");
+    assert_eq!(stand.breaches(), 0);
+}
--- a/fleet/src/council.rs
+++ b/fleet/src/council.rs
@@ -255,8 +255,8 @@
     }
 
     pub fn tick(&mut self) {
-        // The engine draws its patience by chance; here it follows from member and term, so that a life under a
-        // fake now can be lived again.
+        // The engine draws its patience by chance; here it follows from member and term, so that a life
+        // under a fake now can be lived again.
         let (id, term) = (self.raw.raft.id, self.raw.raft.term);
         let mixed = (id ^ term.wrapping_mul(0x9e37_79b9_7f4a_7c15)).wrapping_mul(0xbf58_476d_1ce4_e5b9) >> 32;
         let patience = ELECTION_TICKS + mixed as usize % ELECTION_TICKS;
--- a/fleet/src/lib.rs
+++ b/fleet/src/lib.rs
@@ -1,10 +1,12 @@
 //! A fleet of call agents that know of each other. No I/O, no clock, no wire: time comes in as an argument,
-//! and what is to be written, sent or done goes out as [`node::Effect`]s, in the order in which it must happen.
+//! and what is to be written, sent or done goes out as [`node::Effect`]s, in the order in which it must
+//! happen.
 //!
 //! Three kinds of knowledge are kept apart:
 //!
 //! - *seen*: what this call agent itself does and holds ([`wire::Status`] of its own);
-//! - *told*: who is alive ([`swim`], over a SWIM library) and how the others are (their statuses, with an age);
+//! - *told*: who is alive ([`swim`], over a SWIM library) and how the others are (their statuses, with an
+//!   age);
 //! - *agreed*: the council's log ([`council`], over a raft library) and what follows from it ([`agreed`]).
 //!
 //! Work on machines ([`work`]) is agreed; in which order it is granted ([`order`]) follows from what is told.
--- a/fleet/src/node.rs
+++ b/fleet/src/node.rs
@@ -210,6 +210,9 @@
     pub fenced: u64,
     /// Words of other clusters, other councils or unknown speakers.
     pub strange: u64,
+    /// Frames that found no way out, and octets sent; the front counts these.
+    pub unsent: u64,
+    pub octets: u64,
 }
 
 pub struct Node {
@@ -376,6 +379,7 @@
             slept_ms: self.swim.slept(),
             fenced: self.fenced,
             strange: self.strange,
+            ..Figures::default()
         }
     }
 
@@ -390,7 +394,8 @@
         self.own = status;
     }
 
-    /// Time has passed. Comes at least every [`TICK`], and ahead of messages where the process may have slept.
+    /// Time has passed. Comes at least every [`TICK`], and ahead of messages where the process may have
+    /// slept.
     pub fn wake(&mut self, now: Millis) {
         if let Some(away) = self.swim.wake(now) {
             // What was asked before may have been answered long ago.
@@ -679,8 +684,8 @@
     }
 
     /// Our log is no use any more: the disk is an older copy of one that was seen since, and what it holds of
-    /// votes and entries may have been said otherwise; or the council has gone on without us. It is another disk
-    /// from now on, and never votes as the old one.
+    /// votes and entries may have been said otherwise; or the council has gone on without us. It is another
+    /// disk from now on, and never votes as the old one.
     fn reborn(&mut self, now: Millis, life: u64, why: &str) {
         let me = self.me().clone();
         let node = me.node.rotate_left(17) ^ me.boot;
--- a/fleet/src/order.rs
+++ b/fleet/src/order.rs
@@ -1,7 +1,7 @@
 //! In which order work is granted: what the leader weighs before it asks the council.
 //!
-//! The log holds to what must never happen whoever leads ([`Agreed::bounds`]). What is told here (who is alive,
-//! what is offered) may be late or wrong, and so it only ever keeps a grant back.
+//! The log holds to what must never happen whoever leads ([`Agreed::bounds`]). What is told here (who is
+//! alive, what is offered) may be late or wrong, and so it only ever keeps a grant back.
 
 use std::collections::BTreeSet;
 
@@ -158,7 +158,8 @@
     Ok(())
 }
 
-/// After so many grants to others that it could have had, a request goes before all that were passed less often.
+/// After so many grants to others that it could have had, a request goes before all that were passed less
+/// often.
 const PASSED_ENOUGH: u32 = 8;
 
 /// The request that is granted next, or for each why not yet.
--- a/fleet/src/swim.rs
+++ b/fleet/src/swim.rs
@@ -1,8 +1,8 @@
 //! Who is alive: the SWIM engine (`foca`) with its timers, and a member's doubt of itself.
 //!
-//! A process that was stopped, or had no processor, finds all its timers due at once and the answers of others
-//! still unread. It would call everybody dead. So time that passed without a look moves the timers on instead:
-//! whoever is slow doubts itself before others.
+//! A process that was stopped, or had no processor, finds all its timers due at once and the answers of
+//! others still unread. It would call everybody dead. So time that passed without a look moves the timers
+//! on instead: whoever is slow doubts itself before others.
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
--- a/fleet/src/wire.rs
+++ b/fleet/src/wire.rs
@@ -1,5 +1,5 @@
-//! What members say to each other. A frame is a length (4 octets), the version of the speaker (2 and 2) and an
-//! [`Envelope`]. Sockets carry frames; this file only says what they hold.
+//! What members say to each other. A frame is a length (4 octets), the version of the speaker (2 and 2) and
+//! an [`Envelope`]. Sockets carry frames; this file only says what they hold.
 
 use serde::{Deserialize, Serialize};
 
@@ -43,9 +43,9 @@
 pub enum Payload {
     /// The first word of whoever dials.
     Hello,
-    /// What is known here of the other: the highest life of its name, and whether its disk is the one that was
-    /// last seen (and not an older copy). It is `about` a disk in one start; the first one is answered by
-    /// another, `back`.
+    /// What is known here of the other: the highest life of its name, and whether its disk is the one that
+    /// was last seen (and not an older copy). It is `about` a disk in one start; the first one is answered
+    /// by another, `back`.
     Welcome {
         about: (u64, u64),
         life: u64,
--- a/fleet/tests/seeds.rs
+++ b/fleet/tests/seeds.rs
@@ -1,4 +1,5 @@
-//! Lives of fleets with faults drawn from a seed: three at a time, over and over, while all machines are worked on.
+//! Lives of fleets with faults drawn from a seed: three at a time, over and over, while all machines are
+//! worked on.
 
 mod world;
 
