Add the rig: real processes with faults between them, and a checker of its own

Seen with it, and mended: a load that began from nothing kept grants back for 40 s (a slow mean; a jump counts once now, node.rs look_for_trouble); a machine said five times that it had drained; a line of the log for each of nine waiting machines at each change.

--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 # Build, test, lint and run. Everything works from a clean checkout with the tool chain alone.
 
-.PHONY: build test lint run
+.PHONY: build test lint run rig
 
 build:
 	cargo build --release --locked
@@ -12,6 +12,11 @@
 	cargo fmt --all -- --check
 	cargo clippy --workspace --all-targets --locked -- -D warnings
 
+# Many seeds of three combined faults each, in virtual time; minutes. `make rig SEEDS=200`.
+SEEDS ?= 200
+rig:
+	SEEDS=$(SEEDS) cargo test --release --locked -p steprelay-fleet --test seeds -- --nocapture
+
 # Serves with the configuration that LB_CONFIG names.
 run: build
 	target/release/steprelay serve
--- a/agent/src/fleet/links.rs
+++ b/agent/src/fleet/links.rs
@@ -259,9 +259,10 @@
                 link.queue.close();
             }
         }
-        for link in self.links.values_mut().filter(|link| link.phase == Phase::Up) {
+        for link in self.links.values_mut().filter(|link| link.phase != Phase::Down) {
             let silent = link.unanswered.is_some_and(|since| now > since + SILENT);
-            if silent || now > link.used + UNUSED {
+            let unmet = link.phase == Phase::Dialling && now > link.since + SILENT;
+            if silent || unmet || now > link.used + UNUSED {
                 link.queue.close();
                 (link.phase, link.since) = (Phase::Down, now);
             }
--- a/agent/src/fleet/mod.rs
+++ b/agent/src/fleet/mod.rs
@@ -12,6 +12,7 @@
 
 use std::collections::BTreeMap;
 use std::io;
+use std::net::SocketAddr;
 use std::time::Instant;
 
 use steprelay_core::duty::State;
@@ -103,7 +104,7 @@
         let ((stop, stops), (done, ended)) = (oneshot::channel(), oneshot::channel());
         let (ready, is_ready) = std::sync::mpsc::channel();
         let ends = Ends { status: statuses, wanted, figures, stop: stops };
-        let seeds = config.seeds;
+        let (seeds, from) = (config.seeds, SocketAddr::new(listens.ip(), 0));
         let thread = std::thread::Builder::new().name("fleet".into());
         let run = move || {
             let started = Instant::now();
@@ -117,7 +118,7 @@
                 Err(error) => return drop(ready.send(Err(FleetError::Io { what: "runtime".into(), error }))),
             };
             let served = tokio::task::LocalSet::new().block_on(&runtime, async {
-                let (owner, comes) = FleetOwner::new(node, store, started, seeds, ends);
+                let (owner, comes) = FleetOwner::new(from, node, store, started, seeds, ends);
                 let listener = TcpListener::from_std(listener)?;
                 let control = tokio::net::UnixListener::from_std(control)?;
                 let _ = ready.send(Ok(()));
--- a/agent/src/fleet/owner.rs
+++ b/agent/src/fleet/owner.rs
@@ -57,7 +57,9 @@
 }
 
 impl FleetOwner {
+    /// `me`: where links of our own come from, with port 0.
     pub fn new(
+        me: SocketAddr,
         node: Node,
         store: Store,
         started: Instant,
@@ -65,7 +67,6 @@
         ends: Ends,
     ) -> (Self, mpsc::Receiver<Came>) {
         let (came, comes) = mpsc::channel(WAITING);
-        let me = SocketAddr::new(node.me().address.ip(), 0);
         let links = Links::new(me, node.me().name.clone(), came);
         let links = Rc::new(RefCell::new(links));
         (
--- a/faults/src/decide.rs
+++ b/faults/src/decide.rs
@@ -104,7 +104,7 @@
 }
 
 /// A step of a well-known mixer, so that neighbouring numbers draw independently.
-fn mix(value: u64) -> u64 {
+pub(crate) fn mix(value: u64) -> u64 {
     let value = value.wrapping_add(0x9e37_79b9_7f4a_7c15);
     let value = (value ^ value >> 30).wrapping_mul(0xbf58_476d_1ce4_e5b9);
     let value = (value ^ value >> 27).wrapping_mul(0x94d0_49bb_1331_11eb);
--- a/faults/src/lib.rs
+++ b/faults/src/lib.rs
@@ -10,14 +10,17 @@
 //! use steprelay_faults::decide::{Decider, Way};
 //! use steprelay_faults::plan::{Action, Match, Plan, Rule};
 //!
-//! let drop_third = Rule { matches: Match { index: Some(2), ..Match::default() }, ..Rule::new(Action::Drop)
-//! }; let decider = Decider::new(Plan { seed: 7, rules: vec![drop_third], ..Plan::default() }); let way = Way
-//! { link: 0, connection: 0, to_upstream: true }; assert_eq!(decider.decide(way, 2, b"{}\n").action,
-//! Action::Drop); assert_eq!(decider.decide(way, 3, b"{}\n").action, Action::Pass);
+//! let matches = Match { index: Some(2), ..Match::default() };
+//! let drop_third = Rule { matches, ..Rule::new(Action::Drop) };
+//! let decider = Decider::new(Plan { seed: 7, rules: vec![drop_third], ..Plan::default() });
+//! let way = Way { link: 0, connection: 0, to_upstream: true };
+//! assert_eq!(decider.decide(way, 2, b"{}\n").action, Action::Drop);
+//! assert_eq!(decider.decide(way, 3, b"{}\n").action, Action::Pass);
 //! ```
 
 pub mod decide;
 pub mod facts;
 pub mod frames;
+pub mod mesh;
 pub mod plan;
 pub mod relay;
--- a/fleet/src/node.rs
+++ b/fleet/src/node.rs
@@ -184,7 +184,7 @@
     snapshots: Millis,
     pushed: u64,
     /// Why nothing was granted, as it was last told.
-    told: BTreeMap<String, String>,
+    told: String,
 }
 
 /// Figures of one moment.
@@ -233,9 +233,11 @@
     /// Founders that know of no council.
     none_known: BTreeSet<String>,
     own: Status,
-    /// The question that asks whether the machine may leave, and since when.
-    begin: Option<(CommandId, Millis)>,
-    back: Option<CommandId>,
+    /// The question that asks whether the machine may leave by a grant, and since when.
+    begin: Option<(CommandId, Millis, u64)>,
+    /// What this machine says of itself (that it has drained, that it is back), by which grant, and whether that
+    /// is known to be agreed.
+    saying: Option<(CommandId, Event, u64, bool)>,
     /// The machine was told to leave, or to serve.
     away: bool,
     held: BTreeMap<u32, u64>,
@@ -287,7 +289,7 @@
             none_known: BTreeSet::new(),
             own: Status::default(),
             begin: None,
-            back: None,
+            saying: None,
             away: false,
             held: BTreeMap::new(),
             asks: BTreeMap::new(),
@@ -712,6 +714,7 @@
     /// Another log begins, or none is kept until one comes.
     fn renew(&mut self, log: Option<Write>) {
         (self.council, self.lead, self.may_speak) = (None, None, true);
+        self.saying = None;
         self.kept = self.page.clone();
         // Ahead of all that was to be sent of the one before.
         let page = Box::new(self.page.clone());
@@ -819,8 +822,9 @@
             match step {
                 Step::Apply { index, data } => {
                     if let Ok(entry) = postcard::from_bytes::<Entry>(data) {
+                        let before = page.agreed.version;
                         let outcome = page.agreed.apply(&entry);
-                        answers.push((entry, outcome));
+                        answers.push((entry, outcome, page.agreed.version > before));
                     }
                     page.index = *index;
                 }
@@ -853,11 +857,13 @@
             self.leader_heard = now;
         }
         self.council = Some(council);
-        for (entry, outcome) in answers {
+        for (entry, outcome, moved) in answers {
             if matches!(outcome, Err(Refusal::Fenced { .. } | Refusal::Stale { .. })) {
                 self.fenced += 1;
             }
-            self.tell_work(&entry, &outcome);
+            if moved {
+                self.tell_work(&entry);
+            }
             if let Some(asker) = self.proposing.remove(&entry.id) {
                 self.answer(entry.id, Told::Outcome(outcome), asker);
             }
@@ -869,7 +875,7 @@
     }
 
     /// A line of the log for staff, at the leader alone.
-    fn tell_work(&mut self, entry: &Entry, outcome: &Result<(), Refusal>) {
+    fn tell_work(&mut self, entry: &Entry) {
         if !self.leads() {
             return;
         }
@@ -882,14 +888,12 @@
             | Command::About { machine, .. } => machine.clone(),
             Command::Join { .. } | Command::Forget { .. } | Command::Clock => return,
         };
-        if outcome.is_ok() {
-            let agreed = &self.page.agreed;
-            let over = || agreed.over.iter().rev().find(|item| item.machine == machine);
-            if let Some(item) = agreed.item(&machine).or_else(over) {
-                let grant = item.grant.map_or_else(String::new, |grant| format!(", grant {grant}"));
-                let state = item.state.word();
-                self.log(format!("fleet: work on {machine} is {state}{grant}"));
-            }
+        let agreed = &self.page.agreed;
+        let over = || agreed.over.iter().rev().find(|item| item.machine == machine);
+        if let Some(item) = agreed.item(&machine).or_else(over) {
+            let grant = item.grant.map_or_else(String::new, |grant| format!(", grant {grant}"));
+            let state = item.state.word();
+            self.log(format!("fleet: work on {machine} is {state}{grant}"));
         }
     }
 
@@ -1099,11 +1103,12 @@
         if self.asks.remove(&id).is_none() {
             return;
         }
-        if self.begin.is_some_and(|(begin, _)| begin == id) {
+        if self.begin.is_some_and(|(begin, ..)| begin == id) {
             return self.word_came(&told);
         }
-        if self.back == Some(id) {
-            self.back = None;
+        if let Some((saying, event, grant, _)) = self.saying.filter(|(saying, ..)| *saying == id) {
+            let agreed = told == Told::Outcome(Ok(()));
+            self.saying = agreed.then_some((saying, event, grant, true));
             return;
         }
         self.effects.push(Effect::Told { id, told });
@@ -1166,7 +1171,7 @@
             clock: now,
             snapshots: now,
             pushed: 0,
-            told: BTreeMap::new(),
+            told: String::new(),
         });
         if lead.pushed != self.page.agreed.version {
             lead.pushed = self.page.agreed.version;
@@ -1240,11 +1245,13 @@
         lead.avoided = avoided;
         let load: u64 = statuses().map(|status| status.load_milli).sum();
         let mean = lead.load.unwrap_or(load as f64);
-        if load > SMALL_LOAD && load as f64 > JUMP * mean {
+        let jumps = load > SMALL_LOAD && load as f64 > JUMP * mean;
+        if jumps {
             trouble = Some(format!("load rose to {} a second", load / 1000));
         }
-        // A mean of half a minute or so, in steps of a look.
-        lead.load = Some(mean + (load as f64 - mean) * LEAD as f64 / 30_000.0);
+        // A mean of half a minute or so, in steps of a look; from a jump on it begins anew.
+        let step = if jumps { 1.0 } else { LEAD as f64 / 30_000.0 };
+        lead.load = Some(mean + (load as f64 - mean) * step);
         if let Some(what) = trouble {
             lead.trouble = Some((what, now));
         }
@@ -1392,18 +1399,14 @@
                 self.order(Command::Grant { machine, basis, most_out });
             }
             Err(why) => {
-                let Some(lead) = &mut self.lead else { return };
-                let mut new = Vec::new();
-                for (machine, why) in why {
-                    // Without figures that change all the time, so that each reason is told once.
-                    let kind: String = why.to_string().chars().filter(|c| !c.is_ascii_digit()).collect();
-                    if lead.told.get(&machine) != Some(&kind) {
-                        lead.told.insert(machine.clone(), kind);
-                        new.push(format!("fleet: work on {machine} waits: {why}"));
-                    }
+                let (Some(lead), Some((machine, why))) = (&mut self.lead, why.first()) else { return };
+                // Of the oldest alone, and without figures that change all the time: a reason is told once.
+                let kind: String = why.to_string().chars().filter(|c| !c.is_ascii_digit()).collect();
+                if lead.told != kind {
+                    lead.told = kind;
+                    let line = format!("fleet: work on {machine} waits: {why}");
+                    self.log(line);
                 }
-                lead.told.retain(|machine, _| items.iter().any(|item| item.machine == *machine));
-                new.into_iter().for_each(|line| self.log(line));
             }
         }
     }
@@ -1468,10 +1471,8 @@
             }
             State::Returning | State::Lost => {
                 self.come_back();
-                if self.own.serving && self.back.is_none() {
-                    let event = Event::Back;
-                    let command = Command::About { machine: name, grant, event };
-                    self.back = Some(self.ask(now, Ask::Do(command)));
+                if self.own.serving {
+                    self.say(now, &name, grant, Event::Back);
                 }
             }
             State::Requested | State::Done | State::Withdrawn => self.come_back(),
@@ -1482,30 +1483,30 @@
     /// counts as out until it says otherwise itself.
     fn ask_to_leave(&mut self, now: Millis, name: &str, grant: u64) {
         let waits =
-            self.begin.is_some_and(|(id, since)| self.asks.contains_key(&id) && now < since + WORD_HOLDS);
+            self.begin.is_some_and(|(id, since, _)| self.asks.contains_key(&id) && now < since + WORD_HOLDS);
         if waits {
             return;
         }
-        if let Some((id, _)) = self.begin.take() {
+        if let Some((id, ..)) = self.begin.take() {
             self.asks.remove(&id);
         }
         let command = Command::About { machine: name.into(), grant, event: Event::Begin };
         // Noted first: the answer may come at once where this member leads.
         let id = CommandId { origin: self.me().boot, count: self.count + 1 };
-        self.begin = Some((id, now));
+        self.begin = Some((id, now, grant));
         self.ask(now, Ask::Do(command));
     }
 
     /// The council's word on that.
     fn word_came(&mut self, told: &Told) {
-        let Some((_, since)) = self.begin.take() else { return };
+        let Some((_, since, grant)) = self.begin.take() else { return };
         // `ticked` is of this moment or the tick before; a member that slept has dropped the question.
         if *told != Told::Outcome(Ok(())) || self.ticked > since + WORD_HOLDS {
             return;
         }
         let name = self.me().name.clone();
-        let granted = self.page.agreed.item(&name).and_then(|item| item.grant);
-        if let Some(grant) = granted {
+        // Another one may have come since it was asked about this one.
+        if self.page.agreed.item(&name).is_some_and(|item| item.grant == Some(grant)) {
             self.leave_by(grant);
         }
     }
@@ -1519,13 +1520,25 @@
     }
 
     fn say_drained(&mut self, now: Millis, name: &str, grant: u64) {
-        let quiet = !self.own.serving && self.own.calls == 0;
-        if quiet && self.back.is_none() {
-            let command = Command::About { machine: name.into(), grant, event: Event::Drained };
-            self.back = Some(self.ask(now, Ask::Do(command)));
+        if !self.own.serving && self.own.calls == 0 {
+            self.say(now, name, grant, Event::Drained);
         }
     }
 
+    /// Says something of itself, once, until it is agreed or refused.
+    fn say(&mut self, now: Millis, machine: &str, grant: u64, event: Event) {
+        let said = |(id, said, by, agreed): (CommandId, Event, u64, bool)| {
+            (said, by) == (event, grant) && (agreed || self.asks.contains_key(&id))
+        };
+        if self.saying.is_some_and(said) {
+            return;
+        }
+        let command = Command::About { machine: machine.into(), grant, event };
+        let id = CommandId { origin: self.me().boot, count: self.count + 1 };
+        self.saying = Some((id, event, grant, false));
+        self.ask(now, Ask::Do(command));
+    }
+
     fn come_back(&mut self) {
         if std::mem::take(&mut self.away) {
             self.page.left = None;
--- /dev/null
+++ b/rig/src/checker.rs
@@ -0,0 +1,270 @@
+//! Judges a history. It shares no code with the program, and believes no member: calls are judged by what callers
+//! and servers saw, leavings by how machines answered, crashes by what the rig did.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use crate::history::{Event, What};
+
+/// What has to hold.
+#[derive(Clone, Debug)]
+pub struct Rules {
+    pub zones: BTreeMap<String, String>,
+    pub most_out: usize,
+    /// A call has its answer within this, and its release within that of the server's.
+    pub answer_ms: u64,
+    pub release_ms: u64,
+    /// A machine that was killed or stalled is known as lost to the others after this.
+    pub noticed_ms: u64,
+}
+
+/// What was found.
+#[derive(Clone, Debug, Default)]
+pub struct Findings {
+    /// Broken rules, in words.
+    pub broken: Vec<String>,
+    pub offered: usize,
+    pub stood: usize,
+    /// Answered with a refusal or an error.
+    pub refused: usize,
+    /// Calls that a machine took with it when it was killed.
+    pub taken: usize,
+    /// The most machines that were not serving at once, and the fewest that served.
+    pub most_away: usize,
+    pub least_serving: usize,
+    /// Machines that left for work, in order.
+    pub left: Vec<String>,
+}
+
+#[derive(Default)]
+struct Call {
+    machine: String,
+    offered: u64,
+    answered: Option<u64>,
+    ended: Option<u64>,
+    closed: Option<u64>,
+    released: Option<u64>,
+    answers: u32,
+    ends: u32,
+}
+
+pub fn judge(events: &[Event], rules: &Rules) -> Findings {
+    let mut findings = Findings { least_serving: rules.zones.len(), ..Findings::default() };
+    calls(events, rules, &mut findings);
+    leavings(events, rules, &mut findings);
+    grants(events, &mut findings);
+    findings
+}
+
+/// Each call gets one answer, and each that stood one release; but what was at a machine that was killed.
+fn calls(events: &[Event], rules: &Rules, findings: &mut Findings) {
+    let mut calls: BTreeMap<u64, Call> = BTreeMap::new();
+    // From when until when a machine could do nothing.
+    let mut killed: BTreeMap<&str, Vec<(u64, u64)>> = BTreeMap::new();
+    let end = events.last().map_or(0, |event| event.at);
+    for Event { at, what } in events {
+        match what {
+            What::Offered { call, machine } => {
+                let call = calls.entry(*call).or_default();
+                (call.machine, call.offered) = (machine.clone(), *at);
+            }
+            What::Answered { call } => {
+                let call = calls.entry(*call).or_default();
+                call.answered.get_or_insert(*at);
+                call.answers += 1;
+            }
+            What::Ended { call, .. } => {
+                let call = calls.entry(*call).or_default();
+                call.ended.get_or_insert(*at);
+                call.ends += 1;
+            }
+            What::Closed { call } => calls.entry(*call).or_default().closed = Some(*at),
+            What::Released { call } => calls.entry(*call).or_default().released = Some(*at),
+            What::Killed { machine } => killed.entry(machine).or_default().push((*at, *at)),
+            What::Stalled { machine } => killed.entry(machine).or_default().push((*at, end)),
+            What::Continued { machine } => {
+                killed
+                    .entry(machine)
+                    .or_default()
+                    .iter_mut()
+                    .last()
+                    .into_iter()
+                    .for_each(|life| life.1 = *at);
+            }
+            _ => {}
+        }
+    }
+    for (id, call) in &calls {
+        findings.offered += 1;
+        let over = call.ended.unwrap_or(end);
+        let during = |(from, until): &(u64, u64)| call.offered <= until + 100 && over + 100 >= *from;
+        let taken = killed.get(call.machine.as_str()).is_some_and(|times| times.iter().any(during));
+        findings.taken += usize::from(taken);
+        findings.stood += usize::from(call.answered.is_some());
+        findings.refused += usize::from(call.answered.is_none() && call.ended.is_some());
+        let mut broken = |what: &str| {
+            let (machine, at) = (&call.machine, call.offered);
+            findings.broken.push(format!("call {id} offered to {machine} at {at}: {what}"));
+        };
+        if call.answers > 1 {
+            broken("answered twice");
+        }
+        if call.ends > 1 {
+            broken("ended twice");
+        }
+        if taken {
+            continue;
+        }
+        let first = call.answered.or(call.ended);
+        match first {
+            None if end > call.offered + rules.answer_ms => match call.closed {
+                Some(at) => broken(&format!("its connection was closed at {at} without an answer")),
+                None => broken("no answer"),
+            },
+            Some(at) if at > call.offered + rules.answer_ms => broken("answered too late"),
+            _ => {}
+        }
+        if let (Some(_), None, Some(released)) = (call.answered, call.ended, call.released) {
+            if end > released + rules.release_ms {
+                broken(&format!("released by its server at {released}, and not towards its caller"));
+            }
+        }
+    }
+}
+
+/// No more machines leave than may, nor of two zones, and none while others are known to be lost.
+fn leavings(events: &[Event], rules: &Rules, findings: &mut Findings) {
+    let mut states: BTreeMap<&str, &str> = BTreeMap::new();
+    let mut all_served = false;
+    // Since when a machine is down by the rig's doing.
+    let mut down: BTreeMap<&str, u64> = BTreeMap::new();
+    for Event { at, what } in events {
+        match what {
+            What::Killed { machine } | What::Stalled { machine } => {
+                down.entry(machine).or_insert(*at);
+            }
+            What::Started { machine } | What::Continued { machine } => {
+                down.remove(machine.as_str());
+            }
+            What::Seen { machine, state } => {
+                let before = states.insert(machine, state);
+                let leaves = state == "standby" && matches!(before, Some("serving"));
+                let away: BTreeSet<&str> = states
+                    .iter()
+                    .filter(|(name, state)| **state == "standby" && !down.contains_key(**name))
+                    .map(|(name, _)| *name)
+                    .collect();
+                let serving = states.values().filter(|state| **state == "serving").count();
+                all_served |= serving == rules.zones.len();
+                if all_served {
+                    findings.least_serving = findings.least_serving.min(serving);
+                }
+                findings.most_away = findings.most_away.max(away.len());
+                if !leaves {
+                    continue;
+                }
+                findings.left.push(machine.clone());
+                // Machines that the others must know to be lost, and those under work that were stopped.
+                let lost: BTreeSet<&str> = down
+                    .iter()
+                    .filter(|(name, since)| *at > **since + rules.noticed_ms && **name != machine.as_str())
+                    .map(|(name, _)| *name)
+                    .collect();
+                let out: BTreeSet<&str> = away.union(&lost).copied().collect();
+                if out.len() > rules.most_out {
+                    findings.broken.push(format!("at {at} {machine} leaves, and {out:?} are out"));
+                }
+                let zones: BTreeSet<&String> = out.iter().filter_map(|name| rules.zones.get(*name)).collect();
+                if zones.len() > 1 {
+                    findings.broken.push(format!("at {at} {machine} leaves, and zones {zones:?} are out"));
+                }
+            }
+            _ => {}
+        }
+    }
+}
+
+/// A number is one machine's alone, and later leavings go by greater ones.
+fn grants(events: &[Event], findings: &mut Findings) {
+    let mut last = 0;
+    let mut by: BTreeMap<u64, &str> = BTreeMap::new();
+    for Event { at, what } in events {
+        let What::Logged { machine, line } = what else { continue };
+        let Some((_, number)) = line.split_once("this machine leaves for work, grant ") else { continue };
+        let Ok(number) = number.trim().parse::<u64>() else { continue };
+        if by.insert(number, machine).is_some_and(|before| before != machine) {
+            findings.broken.push(format!("at {at} grant {number} is used by {machine} too"));
+        }
+        if number < last {
+            findings.broken.push(format!("at {at} {machine} leaves by grant {number} after {last}"));
+        }
+        last = last.max(number);
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn rules() -> Rules {
+        let zones = [("n1", "z1"), ("n2", "z2"), ("n3", "z2")];
+        let zones = zones.into_iter().map(|(name, zone)| (name.to_string(), zone.to_string())).collect();
+        Rules { zones, most_out: 1, answer_ms: 100, release_ms: 100, noticed_ms: 50 }
+    }
+
+    fn judged(events: &[(u64, What)]) -> Vec<String> {
+        let events: Vec<Event> =
+            events.iter().map(|(at, what)| Event { at: *at, what: what.clone() }).collect();
+        judge(&events, &rules()).broken
+    }
+
+    fn seen(machine: &str, state: &str) -> What {
+        What::Seen { machine: machine.into(), state: state.into() }
+    }
+
+    /// Each breach that the checker is there for is found, and its harmless neighbour is not.
+    #[test]
+    fn it_finds_what_it_is_there_for() {
+        let offered = (0, What::Offered { call: 1, machine: "n1".into() });
+        let answered = (10, What::Answered { call: 1 });
+        let released = (20, What::Released { call: 1 });
+        let ended = (30, What::Ended { call: 1, why: 16 });
+        let later = (500, What::Phase { name: "end".into() });
+        let good = [offered.clone(), answered.clone(), released.clone(), ended.clone(), later.clone()];
+        assert_eq!(judged(&good), Vec::<String>::new());
+        let without = |place: usize| {
+            let mut events = good.to_vec();
+            events.remove(place);
+            judged(&events)
+        };
+        assert!(without(3)[0].contains("not towards its caller"));
+        assert!(judged(&[offered.clone(), later.clone()])[0].contains("no answer"));
+        let mut twice = good.to_vec();
+        twice.insert(3, answered.clone());
+        assert!(judged(&twice)[0].contains("answered twice"));
+        let mut twice = good.to_vec();
+        twice.insert(4, ended.clone());
+        assert!(judged(&twice)[0].contains("ended twice"));
+        let killed = (15, What::Killed { machine: "n1".into() });
+        assert_eq!(judged(&[offered, killed, later]), Vec::<String>::new(), "its machine took it along");
+    }
+
+    #[test]
+    fn it_finds_machines_that_leave_together() {
+        let all = ["n1", "n2", "n3"].map(|name| (0, seen(name, "serving")));
+        let of = |more: &[(u64, What)]| judged(&[&all[..], more].concat());
+        assert!(of(&[(1, seen("n2", "standby")), (2, seen("n2", "serving")), (3, seen("n1", "standby"))])
+            .is_empty());
+        assert_eq!(of(&[(1, seen("n2", "standby")), (2, seen("n3", "standby"))]).len(), 1, "two at once");
+        assert_eq!(of(&[(1, seen("n2", "standby")), (2, seen("n1", "standby"))]).len(), 2, "and two zones");
+        let killed = What::Killed { machine: "n3".into() };
+        assert!(of(&[(1, killed.clone()), (20, seen("n2", "standby"))]).is_empty(), "not known yet");
+        assert_eq!(of(&[(1, killed), (200, seen("n2", "standby"))]).len(), 1, "it is known");
+        let grant = |at, machine: &str, number| {
+            let line = format!("fleet: this machine leaves for work, grant {number}");
+            (at, What::Logged { machine: machine.into(), line })
+        };
+        assert!(judged(&[grant(1, "n1", 1), grant(2, "n2", 2)]).is_empty());
+        assert_eq!(judged(&[grant(1, "n1", 2), grant(2, "n2", 1)]).len(), 1);
+        assert_eq!(judged(&[grant(1, "n1", 2), grant(2, "n2", 2)]).len(), 1);
+    }
+}
--- /dev/null
+++ b/rig/src/peers.rs
@@ -0,0 +1,219 @@
+//! Scripted callers and check servers on the platform's lines. They note what they see, and judge nothing.
+
+use std::collections::{BTreeMap, VecDeque};
+use std::io::{BufRead, BufReader, ErrorKind, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+use serde_json::{json, Value};
+
+use crate::history::{History, What};
+
+/// A caller looks so often whether anything has come.
+const LOOK: Duration = Duration::from_millis(5);
+/// A call that stands ends after this.
+pub const HOLDS: Duration = Duration::from_millis(250);
+/// How long a caller says that it waits.
+pub const PATIENCE_MS: u64 = 3_000;
+
+/// A check server: it answers each set-up, and releases each call after a while.
+pub struct Server {
+    pub address: SocketAddr,
+}
+
+type Writer = Arc<Mutex<TcpStream>>;
+
+impl Server {
+    /// # Errors
+    /// No port is free.
+    pub fn start(history: History) -> std::io::Result<Self> {
+        let listener = TcpListener::bind("127.0.0.1:0")?;
+        let address = listener.local_addr()?;
+        std::thread::spawn(move || {
+            for stream in listener.incoming().flatten() {
+                let history = history.clone();
+                std::thread::spawn(move || serve(stream, &history));
+            }
+        });
+        Ok(Server { address })
+    }
+}
+
+fn say(writer: &Writer, message: &Value) -> bool {
+    let line = format!("{message}\n");
+    writer.lock().is_ok_and(|mut stream| stream.write_all(line.as_bytes()).is_ok())
+}
+
+/// One connection. Calls that stand are released on it by a thread of its own.
+fn serve(stream: TcpStream, history: &History) {
+    let _ = stream.set_nodelay(true);
+    let Ok(reading) = stream.try_clone() else { return };
+    let writer: Writer = Arc::new(Mutex::new(stream));
+    let load = json!({"op": "group", "call": hex(0), "with": {"load": "spare:900;total:900"}});
+    say(&writer, &load);
+    let due: Arc<Mutex<VecDeque<(Instant, u64)>>> = Arc::default();
+    let open = Arc::new(AtomicBool::new(true));
+    let (releases, writes, goes, notes) = (due.clone(), writer.clone(), open.clone(), history.clone());
+    std::thread::spawn(move || loop {
+        let next = releases.lock().ok().and_then(|due| due.front().copied());
+        match next {
+            Some((at, call)) if at <= Instant::now() => {
+                if let Ok(mut due) = releases.lock() {
+                    due.pop_front();
+                }
+                notes.note(What::Released { call });
+                if !say(&writes, &json!({"op": "end", "call": hex(call), "with": {}, "why": 16})) {
+                    return;
+                }
+            }
+            None if !goes.load(Ordering::Relaxed) => return,
+            _ => std::thread::sleep(LOOK),
+        }
+    });
+    for line in BufReader::new(reading).lines() {
+        let Some(message) = line.ok().and_then(|line| serde_json::from_str::<Value>(&line).ok()) else {
+            break;
+        };
+        let call = message["call"].as_str().and_then(|hex| u64::from_str_radix(hex, 16).ok());
+        let Some(call) = call else { break };
+        match message["op"].as_str() {
+            Some("test") => {
+                say(&writer, &json!({"op": "tested", "call": hex(call), "with": {}, "why": 1}));
+            }
+            Some("offer") => {
+                history.note(What::Asked { call });
+                say(&writer, &json!({"op": "accept", "call": hex(call), "with": {}, "desc": "v=1"}));
+                if let Ok(mut due) = due.lock() {
+                    due.push_back((Instant::now() + HOLDS, call));
+                }
+            }
+            _ => {}
+        }
+    }
+    open.store(false, Ordering::Relaxed);
+}
+
+fn hex(call: u64) -> String {
+    format!("{call:016x}")
+}
+
+/// A caller that keeps calling at a rate, by way of one machine, and of the others while that one sends it away.
+pub struct Caller {
+    stop: Arc<AtomicBool>,
+    thread: Option<std::thread::JoinHandle<()>>,
+}
+
+/// Where machines take callers; they change when a machine starts anew.
+pub type Doors = Arc<Mutex<Vec<(String, Option<SocketAddr>)>>>;
+
+impl Caller {
+    pub fn start(
+        history: History,
+        doors: Doors,
+        home: usize,
+        every: Duration,
+        calls: Arc<AtomicU64>,
+    ) -> Self {
+        let stop = Arc::new(AtomicBool::new(false));
+        let told = stop.clone();
+        let thread = std::thread::spawn(move || {
+            let mut next = home;
+            while !told.load(Ordering::Relaxed) {
+                let door = doors.lock().ok().and_then(|doors| {
+                    let place = next % doors.len().max(1);
+                    doors.get(place).and_then(|(name, address)| Some((name.clone(), (*address)?)))
+                });
+                next += 1;
+                let Some((machine, address)) = door else { continue };
+                let Ok(stream) = TcpStream::connect_timeout(&address, Duration::from_millis(300)) else {
+                    std::thread::sleep(LOOK);
+                    continue;
+                };
+                if call_on(stream, &machine, &history, every, &calls, &told) {
+                    // It came to an end in order; the next one is the neighbour's.
+                    std::thread::sleep(LOOK);
+                }
+                // Home again before long.
+                if next > home + 3 {
+                    next = home;
+                }
+            }
+        });
+        Caller { stop, thread: Some(thread) }
+    }
+
+    /// Makes no more calls, and waits for what is open.
+    pub fn finish(&mut self) {
+        self.stop.store(true, Ordering::Relaxed);
+        if let Some(thread) = self.thread.take() {
+            let _ = thread.join();
+        }
+    }
+}
+
+/// Calls on one connection until it ends, or the caller is told to stop and nothing is open any more.
+fn call_on(
+    mut stream: TcpStream,
+    machine: &str,
+    history: &History,
+    every: Duration,
+    calls: &AtomicU64,
+    stop: &AtomicBool,
+) -> bool {
+    if stream.set_read_timeout(Some(LOOK)).is_err() || stream.set_nodelay(true).is_err() {
+        return false;
+    }
+    let Ok(reading) = stream.try_clone() else { return false };
+    let mut reader = BufReader::new(reading);
+    let mut open: BTreeMap<u64, Instant> = BTreeMap::new();
+    let (mut due, mut line) = (Instant::now(), String::new());
+    let mut stopped: Option<Instant> = None;
+    loop {
+        let now = Instant::now();
+        if stop.load(Ordering::Relaxed) {
+            let since = *stopped.get_or_insert(now);
+            if open.is_empty() || now > since + Duration::from_millis(PATIENCE_MS) {
+                return true;
+            }
+        } else if now >= due {
+            due = (due + every).max(now - every);
+            let call = calls.fetch_add(1, Ordering::Relaxed);
+            history.note(What::Offered { call, machine: machine.into() });
+            open.insert(call, now);
+            let offer = json!({"op": "offer", "call": hex(call), "desc": "v=0", "with": {
+                "class": "standard-check", "left": PATIENCE_MS.to_string(), "tenant": "lembah-realty",
+                "key": format!("{call:x}"), "extras": format!("dest:{};width:1;via:-1", call % 2)}});
+            if stream.write_all(format!("{offer}\n").as_bytes()).is_err() {
+                break;
+            }
+        }
+        match reader.read_line(&mut line) {
+            Ok(0) => break,
+            Ok(_) => {}
+            Err(error) if matches!(error.kind(), ErrorKind::WouldBlock | ErrorKind::TimedOut) => continue,
+            Err(_) => break,
+        }
+        let message: Value = serde_json::from_str(&line).unwrap_or_default();
+        line.clear();
+        let call = message["call"].as_str().and_then(|hex| u64::from_str_radix(hex, 16).ok());
+        let Some(call) = call else { continue };
+        match message["op"].as_str() {
+            Some("accept") => history.note(What::Answered { call }),
+            Some("end") => {
+                history.note(What::Ended { call, why: message["why"].as_u64().unwrap_or(0) });
+                open.remove(&call);
+                let heard = json!({"op": "ended", "call": hex(call), "with": {}});
+                if stream.write_all(format!("{heard}\n").as_bytes()).is_err() {
+                    break;
+                }
+            }
+            _ => {}
+        }
+    }
+    for call in open.keys() {
+        history.note(What::Closed { call: *call });
+    }
+    false
+}
--- /dev/null
+++ b/rig/src/rig.rs
@@ -0,0 +1,542 @@
+//! Real processes: started, killed, stalled and started again, with or without what they had on disk.
+
+use std::collections::BTreeMap;
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream};
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering};
+use std::sync::{Arc, Condvar, Mutex, PoisonError};
+use std::time::{Duration, Instant};
+
+use serde_json::{json, Value};
+use steprelay_faults::mesh::{Member, Mesh, Plan};
+
+use crate::checker::{judge, Findings, Rules};
+use crate::history::{History, What};
+use crate::peers::{Caller, Doors, Server, PATIENCE_MS};
+
+/// Machines are asked how they are so often.
+const LOOK: Duration = Duration::from_millis(40);
+/// A machine that does not answer within this says nothing.
+const ANSWER: Duration = Duration::from_millis(500);
+/// A member is known to be lost after this: asked every 0.6 s, suspect for 2.4 s, and some for a busy machine.
+const NOTICED_MS: u64 = 6_000;
+/// The machines of all rigs of this process have addresses of their own.
+static RIGS: AtomicU32 = AtomicU32::new(0);
+/// Rigs at once in this process: more would only wait for each other's processors, and call that a fault.
+const AT_ONCE: usize = 3;
+static RUNNING: (Mutex<usize>, Condvar) = (Mutex::new(0), Condvar::new());
+
+/// Given back when a rig has ended.
+struct Slot;
+
+impl Slot {
+    fn take() -> Self {
+        let (running, ended) = &RUNNING;
+        let running = running.lock().unwrap_or_else(PoisonError::into_inner);
+        let free = ended.wait_while(running, |running| *running >= AT_ONCE);
+        *free.unwrap_or_else(PoisonError::into_inner) += 1;
+        Slot
+    }
+}
+
+impl Drop for Slot {
+    fn drop(&mut self) {
+        let (running, ended) = &RUNNING;
+        *running.lock().unwrap_or_else(PoisonError::into_inner) -= 1;
+        ended.notify_all();
+    }
+}
+
+/// What a rig is to be.
+#[derive(Clone, Debug)]
+pub struct Setting {
+    /// The program, and a directory that the rig may fill.
+    pub program: PathBuf,
+    pub directory: PathBuf,
+    pub size: usize,
+    pub zones: usize,
+    pub most_out: usize,
+    pub calm_s: f64,
+    /// Calls a second by way of each machine; 0: no callers.
+    pub rate: f64,
+    pub plan: Plan,
+}
+
+struct Machine {
+    name: String,
+    zone: String,
+    address: SocketAddr,
+    directory: PathBuf,
+    child: Option<Child>,
+    ops: Arc<Mutex<Option<SocketAddr>>>,
+    stalled: bool,
+}
+
+pub struct Rig {
+    setting: Setting,
+    pub history: History,
+    pub mesh: Mesh,
+    machines: Vec<Machine>,
+    servers: Vec<Server>,
+    doors: Doors,
+    callers: Vec<Caller>,
+    /// How each machine answered last.
+    states: Arc<Mutex<BTreeMap<String, String>>>,
+    watches: Arc<AtomicBool>,
+    _slot: Slot,
+}
+
+impl Rig {
+    /// Starts everything, and waits until each machine serves.
+    ///
+    /// # Panics
+    /// Something does not start: a test can't go on.
+    pub fn start(setting: Setting) -> Self {
+        let slot = Slot::take();
+        let history = History::default();
+        let number = RIGS.fetch_add(1, Ordering::Relaxed);
+        let _ = std::fs::remove_dir_all(&setting.directory);
+        std::fs::create_dir_all(&setting.directory).expect("a directory");
+        let servers: Vec<Server> = (0..2).map(|_| Server::start(history.clone()).expect("a port")).collect();
+        let (high, low) = ((std::process::id() % 200) as u8, (number % 250) as u8);
+        let mut machines = Vec::new();
+        for place in 0..setting.size {
+            let ip = Ipv4Addr::new(127, 10 + high % 100 + (low % 2) * 100, low, place as u8 + 1);
+            // Free now, and nobody else uses this address.
+            let port = TcpListener::bind((ip, 0)).and_then(|listener| listener.local_addr()).expect("a port");
+            let name = format!("n{}", place + 1);
+            machines.push(Machine {
+                directory: setting.directory.join(&name),
+                name,
+                zone: format!("z{}", place % setting.zones + 1),
+                address: port,
+                child: None,
+                ops: Arc::default(),
+                stalled: false,
+            });
+        }
+        let members = machines.iter().map(|m| Member { name: m.name.clone(), address: m.address }).collect();
+        let mesh = Mesh::start(setting.plan.clone(), members).expect("fronts");
+        let doors = machines.iter().map(|machine| (machine.name.clone(), None)).collect();
+        let mut rig = Rig {
+            setting,
+            history,
+            mesh,
+            machines,
+            servers,
+            doors: Arc::new(Mutex::new(doors)),
+            callers: Vec::new(),
+            states: Arc::default(),
+            watches: Arc::new(AtomicBool::new(true)),
+            _slot: slot,
+        };
+        (0..rig.machines.len()).for_each(|place| rig.run(place));
+        rig.watch();
+        rig.until(Duration::from_secs(30), "all serve", |rig| {
+            rig.machines.iter().all(|machine| rig.state(&machine.name) == "serving")
+        });
+        rig
+    }
+
+    /// Waits until the council is whole and every member knows of all others.
+    pub fn settle(&mut self) {
+        let size = self.machines.len();
+        let voters = size.min(3);
+        self.until(Duration::from_secs(60), "the fleet is whole", |rig| {
+            (0..size).all(|place| {
+                let Some(members) = rig.members(place) else { return false };
+                let alive = members.iter().filter(|row| row["state"] == "alive").count();
+                let votes = members.iter().filter(|row| row["voter"] == true).count();
+                alive == size && votes == voters && members.iter().any(|row| row["leader"] == true)
+            })
+        });
+    }
+
+    /// Callers begin.
+    pub fn call(&mut self) {
+        if self.setting.rate <= 0.0 {
+            return;
+        }
+        let every = Duration::from_secs_f64(1.0 / self.setting.rate);
+        let calls = Arc::new(AtomicU64::new(1));
+        for home in 0..self.machines.len() {
+            let (history, doors) = (self.history.clone(), self.doors.clone());
+            self.callers.push(Caller::start(history, doors, home, every, calls.clone()));
+        }
+    }
+
+    /// Callers end, and all is judged.
+    pub fn finish(&mut self) -> Findings {
+        self.callers.iter_mut().for_each(Caller::finish);
+        let zones = self.machines.iter().map(|machine| (machine.name.clone(), machine.zone.clone()));
+        let rules = Rules {
+            zones: zones.collect(),
+            most_out: self.setting.most_out,
+            answer_ms: PATIENCE_MS + 500,
+            release_ms: 8_000,
+            noticed_ms: NOTICED_MS,
+        };
+        let _ = self.history.write(&self.setting.directory.join("history.jsonl"));
+        judge(&self.history.events(), &rules)
+    }
+
+    pub fn name(&self, place: usize) -> &str {
+        &self.machines[place].name
+    }
+
+    pub fn size(&self) -> usize {
+        self.machines.len()
+    }
+
+    pub fn place(&self, name: &str) -> usize {
+        self.machines.iter().position(|machine| machine.name == name).expect("a machine of the rig")
+    }
+
+    /// How a machine answered operators last.
+    pub fn state(&self, name: &str) -> String {
+        self.states.lock().ok().and_then(|states| states.get(name).cloned()).unwrap_or_default()
+    }
+
+    // ---- Machines.
+
+    fn file(&self, place: usize) -> PathBuf {
+        self.setting.directory.join(format!("{}.toml", self.machines[place].name))
+    }
+
+    /// Starts a machine's process on what its directory holds.
+    pub fn run(&mut self, place: usize) {
+        let fronts = self.mesh.fronts();
+        let machine = &self.machines[place];
+        let seeds: Vec<String> = fronts.iter().take(3).map(|front| format!("\"{front}\"")).collect();
+        let founders: Vec<String> =
+            self.machines.iter().take(3).map(|machine| format!("\"{}\"", machine.name)).collect();
+        let fleet = format!(
+            "cluster = \"rig\"\nname = \"{}\"\nzone = \"{}\"\nlisten = \"{}\"\nadvertise = \"{}\"\n\
+             seeds = [{}]\nfounders = [{}]\ndirectory = {:?}\n[work]\nmost_out = {}\nreserve = 0\ncalm_s = {}\n",
+            machine.name,
+            machine.zone,
+            machine.address,
+            fronts[place],
+            seeds.join(", "),
+            founders.join(", "),
+            machine.directory,
+            self.setting.most_out,
+            self.setting.calm_s
+        );
+        std::fs::write(self.file(place), fleet).expect("written");
+        let config = self.setting.directory.join(format!("{}.json", machine.name));
+        std::fs::write(&config, self.configuration(&machine.name).to_string()).expect("written");
+        let mut child = Command::new(&self.setting.program)
+            .args(["serve", "--config"])
+            .arg(&config)
+            .arg("--fleet")
+            .arg(self.file(place))
+            .env_remove("LB_OPS")
+            .env_remove("LB_SOCKET_FD")
+            .stderr(Stdio::piped())
+            .spawn()
+            .expect("it starts");
+        let log = child.stderr.take().expect("piped");
+        let (name, history) = (machine.name.clone(), self.history.clone());
+        let (ops, doors) = (machine.ops.clone(), self.doors.clone());
+        std::thread::spawn(move || {
+            for line in BufReader::new(log).lines().map_while(Result::ok) {
+                let line = line.strip_prefix("steprelay: ").unwrap_or(&line).to_string();
+                if let Some(address) = line.strip_prefix("serving on ") {
+                    if let (Ok(mut doors), Ok(address)) = (doors.lock(), address.parse()) {
+                        doors
+                            .iter_mut()
+                            .filter(|door| door.0 == name)
+                            .for_each(|door| door.1 = Some(address));
+                    }
+                }
+                if let Some(address) = line.strip_prefix("answering operators on ") {
+                    if let Ok(mut ops) = ops.lock() {
+                        *ops = address.parse().ok();
+                    }
+                }
+                history.note(What::Logged { machine: name.clone(), line });
+            }
+        });
+        self.history.note(What::Started { machine: machine.name.clone() });
+        self.machines[place].child = Some(child);
+    }
+
+    fn configuration(&self, name: &str) -> Value {
+        let targets: Vec<Value> = (1u32..)
+            .zip(&self.servers)
+            .map(|(id, server)| {
+                json!({"uid": format!("s-{id:08x}"), "endpoint": server.address, "pod_group": id - 1,
+                    "state": "up", "boot_ms": 0})
+            })
+            .collect();
+        let class = json!({"name": "standard-check", "sloMs": 60_000, "hardLimitMs": 9000, "importance": 1.0,
+            "idempotency": "idempotent"});
+        json!({
+            "name": name, "listen": "127.0.0.1:0", "ops": "127.0.0.1:0", "seed": "8c1f30d27a5be964",
+            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
+            "known": {"rev": 1, "notices": [{"rev": 1, "pool": {"rev": 1, "all": true, "targets": targets}}]},
+            "settings": {
+                "groupSize": self.machines.len(), "services": [class],
+                "parties": [{"name": "lembah-realty", "quotaRps": 10000}],
+                "policyLimits": {"cancel": true, "mayProbe": true, "dialTimeoutMs": 500, "tryLimit": 5,
+                    "retryAfter": true, "maxRetryAfterMs": 2000, "maxOpen": 20000},
+                "specifics": {"clearWaitMs": 200, "widths": [1], "allowedPools": [[0, 1, 2, 3]]},
+                "rules": {"stopSendingWithinMs": 500},
+            },
+        })
+    }
+
+    /// The process is killed, with all that stands in it.
+    pub fn kill(&mut self, place: usize) {
+        let machine = &mut self.machines[place];
+        self.history.note(What::Killed { machine: machine.name.clone() });
+        if let Some(mut child) = machine.child.take() {
+            let _ = child.kill();
+            let _ = child.wait();
+        }
+        if let Ok(mut doors) = self.doors.lock() {
+            doors[place].1 = None;
+        }
+        machine.stalled = false;
+    }
+
+    /// The process is told to end, and waited for.
+    pub fn stop(&mut self, place: usize) {
+        self.signal(place, "TERM");
+        if let Some(mut child) = self.machines[place].child.take() {
+            let _ = child.wait();
+        }
+        self.history.note(What::Killed { machine: self.machines[place].name.clone() });
+        if let Ok(mut doors) = self.doors.lock() {
+            doors[place].1 = None;
+        }
+    }
+
+    pub fn lose_disk(&mut self, place: usize) {
+        let _ = std::fs::remove_dir_all(&self.machines[place].directory);
+    }
+
+    /// Keeps a copy of a directory whose process does not run.
+    pub fn copy_disk(&self, place: usize) -> PathBuf {
+        let copy = self.machines[place].directory.with_extension("copy");
+        copy_files(&self.machines[place].directory, &copy);
+        copy
+    }
+
+    pub fn restore_disk(&mut self, place: usize, copy: &Path) {
+        self.lose_disk(place);
+        copy_files(copy, &self.machines[place].directory);
+    }
+
+    /// The process gets no processor until it is continued.
+    pub fn stall(&mut self, place: usize) {
+        self.history.note(What::Stalled { machine: self.machines[place].name.clone() });
+        self.signal(place, "STOP");
+        self.machines[place].stalled = true;
+    }
+
+    pub fn go_on(&mut self, place: usize) {
+        self.signal(place, "CONT");
+        self.machines[place].stalled = false;
+        self.history.note(What::Continued { machine: self.machines[place].name.clone() });
+    }
+
+    fn signal(&self, place: usize, name: &str) {
+        if let Some(child) = &self.machines[place].child {
+            let done = Command::new("kill").args([&format!("-{name}"), &child.id().to_string()]).status();
+            assert!(done.is_ok_and(|status| status.success()), "kill -{name}");
+        }
+    }
+
+    pub fn runs(&self, place: usize) -> bool {
+        self.machines[place].child.is_some() && !self.machines[place].stalled
+    }
+
+    /// Processor time that a machine's process has used, in milliseconds (`/proc`'s ticks are of 10 ms).
+    pub fn processor_ms(&self, place: usize) -> u64 {
+        let Some(child) = &self.machines[place].child else { return 0 };
+        let stat = std::fs::read_to_string(format!("/proc/{}/stat", child.id())).unwrap_or_default();
+        let fields: Vec<&str> = stat.rsplit(')').next().unwrap_or_default().split_whitespace().collect();
+        let ticks = |place: usize| fields.get(place).and_then(|field| field.parse::<u64>().ok()).unwrap_or(0);
+        (ticks(11) + ticks(12)) * 10
+    }
+
+    // ---- Staff.
+
+    /// A command of staff at one machine; its exit code and what it printed.
+    pub fn staff(&self, place: usize, words: &[&str]) -> (i32, String) {
+        let output = Command::new(&self.setting.program)
+            .args(["fleet", "--fleet"])
+            .arg(self.file(place))
+            .args(words)
+            .output()
+            .expect("it runs");
+        let code = output.status.code().unwrap_or(-1);
+        self.history.note(What::Staff { words: words.join(" "), code });
+        let said = [output.stdout, output.stderr].concat();
+        (code, String::from_utf8_lossy(&said).into_owned())
+    }
+
+    /// The members as one machine sees them; `None` where it does not answer.
+    pub fn members(&self, place: usize) -> Option<Vec<Value>> {
+        self.json(place, &["members", "--json"])
+    }
+
+    pub fn work(&self, place: usize) -> Option<Vec<Value>> {
+        self.json(place, &["work", "list", "--json"])
+    }
+
+    fn json(&self, place: usize, words: &[&str]) -> Option<Vec<Value>> {
+        if !self.runs(place) {
+            return None;
+        }
+        let (code, text) = self.staff(place, words);
+        serde_json::from_str(&text).ok().filter(|_| code == 0)
+    }
+
+    /// The state of work on a machine, as another sees it.
+    pub fn work_on(&self, name: &str, by: usize) -> String {
+        let rows = self.work(by).unwrap_or_default();
+        let row = rows.iter().find(|row| row["machine"] == name);
+        row.and_then(|row| row["state"].as_str()).unwrap_or("").to_string()
+    }
+
+    /// The machine that leads the council, as the running machines see it.
+    pub fn leader(&self) -> Option<usize> {
+        (0..self.machines.len()).find(|place| {
+            let name = &self.machines[*place].name;
+            let rows = self.members(*place).unwrap_or_default();
+            rows.iter().any(|row| row["leader"] == true && row["name"] == *name)
+        })
+    }
+
+    /// Staff say that work is over wherever a machine is out, until nothing is open any more.
+    ///
+    /// # Panics
+    /// It takes longer than that.
+    pub fn roll_on(&mut self, within: Duration) {
+        let until = Instant::now() + within;
+        loop {
+            assert!(Instant::now() < until, "the roll does not come to its end: {}", self.told());
+            let by = (0..self.machines.len()).find(|place| self.runs(*place)).expect("one runs");
+            let Some(rows) = self.work(by) else { continue };
+            let open: Vec<&Value> =
+                rows.iter().filter(|row| row["state"] != "done" && row["state"] != "withdrawn").collect();
+            if open.is_empty() {
+                return;
+            }
+            let out = open.iter().find(|row| matches!(row["state"].as_str(), Some("out" | "overdue")));
+            match out.and_then(|row| row["machine"].as_str()) {
+                Some(name) => drop(self.staff(by, &["work", "done", name])),
+                None => std::thread::sleep(LOOK),
+            }
+        }
+    }
+
+    /// Waits until something holds.
+    ///
+    /// # Panics
+    /// It does not within that time.
+    pub fn until(&mut self, within: Duration, what: &str, mut holds: impl FnMut(&Rig) -> bool) {
+        let until = Instant::now() + within;
+        while !holds(self) {
+            assert!(Instant::now() < until, "not in time: {what}\n{}", self.told());
+            std::thread::sleep(LOOK);
+        }
+    }
+
+    /// Watches that something holds for so long.
+    ///
+    /// # Panics
+    /// It does not.
+    pub fn always(&mut self, for_: Duration, what: &str, mut holds: impl FnMut(&Rig) -> bool) {
+        let until = Instant::now() + for_;
+        while Instant::now() < until {
+            assert!(holds(self), "{what}\n{}", self.told());
+            std::thread::sleep(LOOK);
+        }
+    }
+
+    /// What the machines' logs told of the fleet, for whoever reads why a test failed.
+    pub fn told(&self) -> String {
+        let mut text = String::new();
+        for event in self.history.events() {
+            let line = match event.what {
+                What::Logged { machine, line } => format!("{machine}: {line}"),
+                What::Staff { words, .. } if words.ends_with("--json") => continue,
+                What::Offered { .. }
+                | What::Answered { .. }
+                | What::Ended { .. }
+                | What::Asked { .. }
+                | What::Released { .. } => continue,
+                other => format!("{other:?}"),
+            };
+            text.push_str(&format!("{} {line}\n", event.at));
+        }
+        text
+    }
+
+    /// Enters a phase of the plan.
+    ///
+    /// # Panics
+    /// The plan has none of that name.
+    pub fn phase(&self, name: &str) {
+        self.history.note(What::Phase { name: name.into() });
+        assert!(self.mesh.enter(name), "no phase '{name}'");
+    }
+
+    /// Asks all machines again and again how they are, and notes what changes.
+    fn watch(&self) {
+        for machine in &self.machines {
+            let (name, ops) = (machine.name.clone(), machine.ops.clone());
+            let (history, states, watches) =
+                (self.history.clone(), self.states.clone(), self.watches.clone());
+            std::thread::spawn(move || {
+                while watches.load(Ordering::Relaxed) {
+                    let address = ops.lock().ok().and_then(|ops| *ops);
+                    let state = address.and_then(ask).unwrap_or_else(|| "silent".into());
+                    if let Ok(mut states) = states.lock() {
+                        if states.insert(name.clone(), state.clone()).as_ref() != Some(&state) {
+                            history.note(What::Seen { machine: name.clone(), state });
+                        }
+                    }
+                    std::thread::sleep(LOOK);
+                }
+            });
+        }
+    }
+}
+
+/// What a machine answers to `status`.
+fn ask(ops: SocketAddr) -> Option<String> {
+    let mut stream = TcpStream::connect_timeout(&ops, ANSWER).ok()?;
+    stream.set_read_timeout(Some(ANSWER)).ok()?;
+    stream.write_all(b"status\n").ok()?;
+    let mut text = String::new();
+    stream.read_to_string(&mut text).ok()?;
+    text.split_whitespace().last().map(str::to_string)
+}
+
+fn copy_files(from: &Path, to: &Path) {
+    let _ = std::fs::create_dir_all(to);
+    for file in std::fs::read_dir(from).expect("a directory").flatten() {
+        if file.file_type().is_ok_and(|kind| kind.is_file()) {
+            std::fs::copy(file.path(), to.join(file.file_name())).expect("copied");
+        }
+    }
+}
+
+impl Drop for Rig {
+    fn drop(&mut self) {
+        self.watches.store(false, Ordering::Relaxed);
+        for machine in &mut self.machines {
+            if let Some(mut child) = machine.child.take() {
+                let _ = child.kill();
+                let _ = child.wait();
+            }
+        }
+    }
+}
