--- a/agent/tests/fleet.rs
+++ b/agent/tests/fleet.rs
@@ -1,5 +1,5 @@
-//! Several processes of the program, with faults between them. The rig's checker judges what callers, servers and
-//! machines did; it shares no code with the program.
+//! Several processes of the program, with faults between them. The rig's checker judges what callers,
+//! servers and machines did; it shares no code with the program.
 
 use std::path::PathBuf;
 use std::time::Duration;
--- a/faults/src/mesh.rs
+++ b/faults/src/mesh.rs
@@ -1,9 +1,10 @@
-//! Links among many: every member has a front of its own, and what passes between any two is decided by a plan
-//! with phases. Who speaks is told by the address that a connection comes from, so each member has one of its own.
+//! Links among many: every member has a front of its own, and what passes between any two is decided by a
+//! plan with phases. Who speaks is told by the address that a connection comes from, so each member has one
+//! of its own.
 //!
-//! [`Plan::decide`] is pure: a decision depends on the seed, the phase, the two members, the connection and the
-//! place of the message, and on nothing else. [`Mesh`] carries it out on sockets, on a thread of its own, and
-//! records it.
+//! [`Plan::decide`] is pure: a decision depends on the seed, the phase, the two members, the connection and
+//! the place of the message, and on nothing else. [`Mesh`] carries it out on sockets, on a thread of its
+//! own, and records it.
 
 use std::collections::BTreeMap;
 use std::io;
--- a/fleet/src/node.rs
+++ b/fleet/src/node.rs
@@ -235,8 +235,8 @@
     own: Status,
     /// The question that asks whether the machine may leave by a grant, and since when.
     begin: Option<(CommandId, Millis, u64)>,
-    /// What this machine says of itself (that it has drained, that it is back), by which grant, and whether that
-    /// is known to be agreed.
+    /// What this machine says of itself (that it has drained, that it is back), by which grant, and whether
+    /// that is known to be agreed.
     saying: Option<(CommandId, Event, u64, bool)>,
     /// The machine was told to leave, or to serve.
     away: bool,
@@ -1482,8 +1482,7 @@
     /// Asks the council whether the grant still holds, by way of the log: once that is agreed, the machine
     /// counts as out until it says otherwise itself.
     fn ask_to_leave(&mut self, now: Millis, name: &str, grant: u64) {
-        let waits =
-            self.begin.is_some_and(|(id, since, _)| self.asks.contains_key(&id) && now < since + WORD_HOLDS);
+        let waits = self.begin.is_some_and(|(id, ..)| self.asks.contains_key(&id));
         if waits {
             return;
         }
--- a/fleet/tests/fleet.rs
+++ b/fleet/tests/fleet.rs
@@ -246,3 +246,59 @@
     world.start_all();
     assert!(world.until(60_000, World::is_whole), "{}", world.logs());
 }
+
+#[test]
+fn the_councils_word_does_not_hold_for_ever() {
+    let mut world = whole(12, 6);
+    assert_eq!(world.add(0, 5), Some(Ok(())));
+    assert!(world.until(20_000, |world| {
+        world.leader().is_some_and(|leader| world.state_of(5, leader) == Some(State::Granted))
+    }));
+    // From now on the way there and back takes longer than a word holds.
+    world.far = Some((5, 1_300));
+    let mut allowed = false;
+    for _ in 0..80 {
+        world.run(50);
+        let state = world.leader().and_then(|leader| world.state_of(5, leader));
+        allowed |= state == Some(State::Draining);
+        assert_eq!(world.machines[5].away, None, "{}", world.logs());
+    }
+    assert!(allowed, "the council said yes: {}", world.logs());
+    assert_kept(&world);
+}
+
+#[test]
+fn a_machine_that_starts_while_it_is_out_takes_up_no_work() {
+    let mut world = whole(13, 5);
+    assert_eq!(world.add(0, 4), Some(Ok(())));
+    let out = |world: &World| world.leader().is_some_and(|by| world.state_of(4, by) == Some(State::Out));
+    assert!(world.until(30_000, out), "{}", world.logs());
+    world.kill(4);
+    world.run(10_000);
+    assert!(out(&world), "a machine under work is expected to be away");
+    world.start(4);
+    assert!(world.machines[4].stays);
+    world.run(10_000);
+    assert!(world.machines[4].stays && out(&world), "{}", world.logs());
+    let leader = world.leader().expect("there is one");
+    assert_eq!(world.finish(leader, 4), Some(Ok(())));
+    assert!(world.until(10_000, |world| !world.machines[4].stays), "{}", world.logs());
+    assert!(roll(&mut world, 10_000), "{}", world.logs());
+}
+
+#[test]
+fn a_voter_that_starts_says_nothing_before_others_know_its_disk() {
+    let mut world = whole(14, 4);
+    let leader = world.leader().expect("there is one");
+    let voters = world.node(leader).agreed().voters.clone();
+    let votes = |place: &usize| voters.contains_key(&world.node(*place).me().node);
+    let voter = (0..4).filter(|place| *place != leader).find(votes).expect("another votes");
+    world.kill(voter);
+    world.partition(|place| usize::from(place == voter));
+    world.start(voter);
+    let before = world.raft_said.get(&voter).copied();
+    world.run(5_000);
+    assert_eq!(world.raft_said.get(&voter).copied(), before, "it asked for votes");
+    world.heal();
+    assert!(world.until(10_000, |world| world.raft_said.get(&voter).copied() > before), "{}", world.logs());
+}
--- a/fleet/tests/model.rs
+++ b/fleet/tests/model.rs
@@ -1,9 +1,9 @@
 //! All interleavings of a small fleet's grants: messages between machines and the log are lost, doubled and
-//! late, leaders decide by a state that was, machines sleep and forget what they asked. The log itself is in one
-//! order, which is what the engine gives; `Agreed::apply` is the program's own.
+//! late, leaders decide by a state that was, machines sleep and forget what they asked. The log itself is
+//! in one order, which is what the engine gives; `Agreed::apply` is the program's own.
 //!
-//! Bounds explored: two machines, eight steps; one that goes twice, thirteen steps, without loss and doubling on
-//! the way into the log. Two grants and two commands under way at once, in every order.
+//! Bounds explored: two machines, eight steps; one that goes twice, thirteen steps, without loss and
+//! doubling on the way into the log. Two grants and two commands under way at once, in every order.
 
 use stateright::{Checker, Model, Property};
 use steprelay_fleet::agreed::{Agreed, Command, CommandId, Entry};
--- a/fleet/tests/world/mod.rs
+++ b/fleet/tests/world/mod.rs
@@ -37,7 +37,7 @@
     pub away: Option<u64>,
     away_since: u64,
     /// It has taken up no work since its start.
-    stays: bool,
+    pub stays: bool,
     pub left_by: Vec<u64>,
     pub held: BTreeMap<u32, u64>,
     pub told: BTreeMap<CommandId, Told>,
@@ -54,12 +54,16 @@
     wire: BTreeMap<(u64, u64), (usize, usize, Vec<u8>)>,
     sent: u64,
     pub octets: u64,
+    /// Words between voters, by their speaker.
+    pub raft_said: BTreeMap<usize, u64>,
     links: BTreeSet<(usize, usize, u64, u64)>,
     /// Ways that carry nothing, from one to the other.
     pub cuts: BTreeSet<(usize, usize)>,
     pub loss: f64,
     pub doubled: f64,
     pub delay: (u64, u64),
+    /// One that is far away: words to and from it take so much longer.
+    pub far: Option<(usize, u64)>,
     pub most_away: usize,
     /// What was broken, in words.
     pub broken: Vec<String>,
@@ -86,11 +90,13 @@
             wire: BTreeMap::new(),
             sent: 0,
             octets: 0,
+            raft_said: BTreeMap::new(),
             links: BTreeSet::new(),
             cuts: BTreeSet::new(),
             loss: 0.0,
             doubled: 0.0,
             delay: (1, 5),
+            far: None,
             most_away: 0,
             broken: Vec::new(),
             ever_left: Vec::new(),
@@ -194,7 +200,7 @@
 
     pub fn heal(&mut self) {
         self.cuts.clear();
-        (self.loss, self.doubled, self.delay) = (0.0, 0.0, (1, 5));
+        (self.loss, self.doubled, self.delay, self.far) = (0.0, 0.0, (1, 5), None);
     }
 
     pub fn random(&mut self, below: usize) -> usize {
@@ -204,6 +210,9 @@
     fn post(&mut self, from: usize, to: usize, payload: Payload) {
         let Some(node) = &self.machines[from].node else { return };
         let first = matches!(payload, Payload::Hello);
+        if matches!(payload, Payload::Raft(_)) {
+            *self.raft_said.entry(from).or_default() += 1;
+        }
         let frame = wire::encode(&node.envelope(payload.clone()));
         if !self.is_linked(from, to)
             && !first
@@ -217,7 +226,8 @@
         }
         let copies = 1 + usize::from(self.rng.random_bool(self.doubled));
         for _ in 0..copies {
-            let at = self.now + self.rng.random_range(self.delay.0..=self.delay.1);
+            let far = self.far.filter(|(place, _)| [from, to].contains(place)).map_or(0, |(_, more)| more);
+            let at = self.now + self.rng.random_range(self.delay.0..=self.delay.1) + far;
             self.sent += 1;
             self.octets += frame.len() as u64;
             self.wire.insert((at, self.sent), (from, to, frame.clone()));
--- a/rig/src/checker.rs
+++ b/rig/src/checker.rs
@@ -1,5 +1,5 @@
-//! Judges a history. It shares no code with the program, and believes no member: calls are judged by what callers
-//! and servers saw, leavings by how machines answered, crashes by what the rig did.
+//! Judges a history. It shares no code with the program, and believes no member: calls are judged by what
+//! callers and servers saw, leavings by how machines answered, crashes by what the rig did.
 
 use std::collections::{BTreeMap, BTreeSet};
 
--- a/rig/src/peers.rs
+++ b/rig/src/peers.rs
@@ -99,7 +99,8 @@
     format!("{call:016x}")
 }
 
-/// A caller that keeps calling at a rate, by way of one machine, and of the others while that one sends it away.
+/// A caller that keeps calling at a rate, by way of one machine, and of the others while that one sends it
+/// away.
 pub struct Caller {
     stop: Arc<AtomicBool>,
     thread: Option<std::thread::JoinHandle<()>>,
--- a/rig/src/rig.rs
+++ b/rig/src/rig.rs
@@ -20,7 +20,8 @@
 const LOOK: Duration = Duration::from_millis(40);
 /// A machine that does not answer within this says nothing.
 const ANSWER: Duration = Duration::from_millis(500);
-/// A member is known to be lost after this: asked every 0.6 s, suspect for 2.4 s, and some for a busy machine.
+/// A member is known to be lost after this: asked every 0.6 s, suspect for 2.4 s, and some for a busy
+/// machine.
 const NOTICED_MS: u64 = 6_000;
 /// The machines of all rigs of this process have addresses of their own.
 static RIGS: AtomicU32 = AtomicU32::new(0);
@@ -214,7 +215,8 @@
             self.machines.iter().take(3).map(|machine| format!("\"{}\"", machine.name)).collect();
         let fleet = format!(
             "cluster = \"rig\"\nname = \"{}\"\nzone = \"{}\"\nlisten = \"{}\"\nadvertise = \"{}\"\n\
-             seeds = [{}]\nfounders = [{}]\ndirectory = {:?}\n[work]\nmost_out = {}\nreserve = 0\ncalm_s = {}\n",
+             seeds = [{}]\nfounders = [{}]\ndirectory = {:?}\n\
+             [work]\nmost_out = {}\nreserve = 0\ncalm_s = {}\n",
             machine.name,
             machine.zone,
             machine.address,
