--- a/Makefile
+++ b/Makefile
@@ -16,6 +16,7 @@
 SEEDS ?= 200
 rig:
 	SEEDS=$(SEEDS) cargo test --release --locked -p steprelay-fleet --test seeds -- --nocapture
+	cargo test --release --locked -p steprelay-fleet --test fleet -- --ignored --nocapture
 
 # Serves with the configuration that LB_CONFIG names.
 run: build
--- a/agent/src/net/links.rs
+++ b/agent/src/net/links.rs
@@ -26,15 +26,15 @@
 /// The longest pause that is remembered falls by one part in so many of the time that passes.
 const FORGETS: Micros = 10;
 /// A connection on which calls stand is tested after this long without a word: their releases come on it. No
-/// sooner than the limit for a release asks for, since tests are work for servers, and those of all call agents
-/// add up.
+/// sooner than the limit for a release asks for, since tests are work for servers, and those of all call
+/// agents add up.
 const UNHEARD: Micros = 2_000_000;
 /// What both connections were asked comes this much later on the first, or never.
 const GRACE: Micros = 80_000;
 /// Without an answer on either, the first is closed after this.
 const NO_PROOF: Micros = 3_000_000;
-/// A release comes within 8 s of the call's end whatever its connection does; the last second is for a dial and
-/// the way.
+/// A release comes within 8 s of the call's end whatever its connection does; the last second is for a dial
+/// and the way.
 const _: () = assert!(UNHEARD + LATE + NO_PROOF <= 7_000_000);
 /// From one second connection to the next: where the way is bad, the second may soon be silent too.
 const RELIEF_PAUSE: Micros = 300_000;
@@ -441,6 +441,29 @@
         links
     }
 
+    /// Tests are work for servers, and those of all call agents add up.
+    #[test]
+    fn a_connection_on_which_calls_stand_is_tested_as_seldom_as_releases_allow() {
+        let mut links = Links::default();
+        links.listed(AT, Way::Platform(([127, 0, 0, 1], 1).into()), 0);
+        let (id, _) = links.due(0)[0];
+        let (outbox, _inbox) = conn::channel();
+        links.up(id, outbox, 0);
+        let mut tests = 0;
+        for tenth in 1..=600 {
+            let now = tenth * 100 * MS;
+            assert!(links.watch(now, |_| false).is_empty(), "nothing stands there");
+            for found in links.watch(now, |_| true) {
+                assert!(matches!(found, Watch::Test(tested) if tested == id));
+                assert!(links.test(id, CallId(tenth as u64), now));
+                links.heard(id, None, true, now + 50 * MS);
+                tests += 1;
+            }
+        }
+        // A minute, at one in a little over 2 s.
+        assert!((25..=30).contains(&tests), "{tests}");
+    }
+
     fn relief(links: &mut Links, now: Micros) -> Option<LinkId> {
         links.watch(now, |_| false).into_iter().find_map(|found| match found {
             Watch::Relieve(id, _) => Some(id),
--- a/agent/tests/fleet.rs
+++ b/agent/tests/fleet.rs
@@ -6,6 +6,7 @@
 
 use steprelay_faults::mesh::{partition, Phase, Plan, Rule};
 use steprelay_rig::checker::Findings;
+use steprelay_rig::history::{Event, What};
 use steprelay_rig::rig::{Rig, Setting};
 
 fn seconds(seconds: u64) -> Duration {
@@ -21,6 +22,7 @@
         most_out: 1,
         calm_s: 0.5,
         rate: 10.0,
+        fleet: true,
         plan: Plan { seed: 7, phases: vec![phase("well", Vec::new())] },
     }
 }
@@ -359,3 +361,48 @@
     let (code, said) = rig.staff(0, &["members", "--json"]);
     assert_eq!(code, 0, "{said}");
 }
+
+#[test]
+fn a_check_server_under_work_gets_no_set_ups_from_anybody() {
+    let mut rig = start(setting("server", 3, 3));
+    let (code, said) = rig.staff(0, &["work", "add", "s-00000009", "--for", "1m"]);
+    assert!(code == 1 && said.contains("no machine of that name is known"), "{code} {said}");
+    add(&rig, 0, "s-00000001");
+    assert_eq!(rig.staff(2, &["work", "wait", "s-00000001", "--within", "30s"]).0, 0, "{}", rig.told());
+    let out = rig.history.now();
+    rig.always(seconds(3), "it stays out", |rig| rig.work_on("s-00000001", 1) == "out");
+    // One that starts meanwhile knows of it from its directory.
+    rig.kill(2);
+    rig.run(2);
+    rig.until(seconds(20), "it serves again", |rig| rig.state("n3") == "serving");
+    rig.always(seconds(2), "it stays out", |rig| rig.work_on("s-00000001", 1) == "out");
+    let until = rig.history.now();
+    assert_eq!(rig.staff(1, &["work", "done", "s-00000001"]).0, 0);
+    rig.until(seconds(20), "it is done", |rig| rig.work_on("s-00000001", 0) == "done");
+    let asked = |rig: &Rig, from: u64, until: u64| {
+        let of = |event: &&Event| matches!(event.what, What::Asked { server: 1, .. });
+        rig.history.events().iter().filter(of).filter(|event| (from..until).contains(&event.at)).count()
+    };
+    assert_eq!(asked(&rig, out, until), 0, "set-ups went to a machine that is out");
+    rig.until(seconds(20), "it is used again", |rig| asked(rig, until, u64::MAX) > 0);
+    good(&mut rig);
+}
+
+#[test]
+fn one_that_stops_in_order_has_left_and_comes_back() {
+    let mut rig = start(setting("left", 3, 3));
+    rig.stop(2);
+    let health = |rig: &Rig| {
+        let rows = rig.members(0).unwrap_or_default();
+        let row = rows.iter().find(|row| row["name"] == "n3");
+        row.and_then(|row| row["state"].as_str()).unwrap_or("").to_string()
+    };
+    rig.until(seconds(5), "it has left", |rig| health(rig) == "left");
+    // Whoever is not there counts as out, whatever the reason.
+    add(&rig, 0, "n1");
+    rig.always(seconds(3), "nobody goes", |rig| rig.work_on("n1", 0) == "requested");
+    rig.run(2);
+    rig.settle();
+    rig.roll_on(seconds(60));
+    good(&mut rig);
+}
--- a/fleet/tests/fleet.rs
+++ b/fleet/tests/fleet.rs
@@ -302,3 +302,28 @@
     world.heal();
     assert!(world.until(10_000, |world| world.raft_said.get(&voter).copied() > before), "{}", world.logs());
 }
+
+/// Minutes in a debug build; `make rig` plays it, and prints what it cost.
+#[test]
+#[ignore = "long"]
+fn three_hundred_members_settle_at_a_tenth_of_loss_and_go_in_turn() {
+    let mut world = World::new(15, 300, 3, 1, 1_000);
+    world.loss = 0.1;
+    let started = world.now;
+    world.start_all();
+    assert!(world.until(180_000, World::is_whole), "{}", world.show());
+    println!("300 members, a tenth of words lost: whole after {} ms", world.now - started);
+    let (now, octets) = (world.now, world.octets);
+    world.run(10_000);
+    let each = (world.octets - octets) * 1_000 / (world.now - now) / 300;
+    println!("idle: {each} octets/s a member");
+    world.heal();
+    for place in [7, 8, 9] {
+        assert_eq!(world.add(place, place + 100), Some(Ok(())));
+    }
+    let asked = world.now;
+    assert!(roll(&mut world, 120_000), "{}", world.show());
+    println!("three of them worked on after {} ms", world.now - asked);
+    assert_kept(&world);
+    assert_eq!(world.ever_left.len(), 3);
+}
--- a/rig/src/history.rs
+++ b/rig/src/history.rs
@@ -28,10 +28,12 @@
     Closed {
         call: u64,
     },
-    /// A check server was asked, and said that the call is over.
+    /// A check server (by its number, from 1) was asked.
     Asked {
         call: u64,
+        server: u32,
     },
+    /// It said that the call is over.
     Released {
         call: u64,
     },
--- a/rig/src/peers.rs
+++ b/rig/src/peers.rs
@@ -28,13 +28,13 @@
 impl Server {
     /// # Errors
     /// No port is free.
-    pub fn start(history: History) -> std::io::Result<Self> {
+    pub fn start(number: u32, history: History) -> std::io::Result<Self> {
         let listener = TcpListener::bind("127.0.0.1:0")?;
         let address = listener.local_addr()?;
         std::thread::spawn(move || {
             for stream in listener.incoming().flatten() {
                 let history = history.clone();
-                std::thread::spawn(move || serve(stream, &history));
+                std::thread::spawn(move || serve(stream, number, &history));
             }
         });
         Ok(Server { address })
@@ -47,7 +47,7 @@
 }
 
 /// One connection. Calls that stand are released on it by a thread of its own.
-fn serve(stream: TcpStream, history: &History) {
+fn serve(stream: TcpStream, number: u32, history: &History) {
     let _ = stream.set_nodelay(true);
     let Ok(reading) = stream.try_clone() else { return };
     let writer: Writer = Arc::new(Mutex::new(stream));
@@ -83,7 +83,7 @@
                 say(&writer, &json!({"op": "tested", "call": hex(call), "with": {}, "why": 1}));
             }
             Some("offer") => {
-                history.note(What::Asked { call });
+                history.note(What::Asked { call, server: number });
                 say(&writer, &json!({"op": "accept", "call": hex(call), "with": {}, "desc": "v=1"}));
                 if let Ok(mut due) = due.lock() {
                     due.push_back((Instant::now() + HOLDS, call));
--- a/rig/src/rig.rs
+++ b/rig/src/rig.rs
@@ -62,6 +62,8 @@
     pub calm_s: f64,
     /// Calls a second by way of each machine; 0: no callers.
     pub rate: f64,
+    /// Whether the machines are members of a fleet; without it they are as on the platform.
+    pub fleet: bool,
     pub plan: Plan,
 }
 
@@ -100,7 +102,8 @@
         let number = RIGS.fetch_add(1, Ordering::Relaxed);
         let _ = std::fs::remove_dir_all(&setting.directory);
         std::fs::create_dir_all(&setting.directory).expect("a directory");
-        let servers: Vec<Server> = (0..2).map(|_| Server::start(history.clone()).expect("a port")).collect();
+        let servers: Vec<Server> =
+            (1..=2).map(|number| Server::start(number, history.clone()).expect("a port")).collect();
         let (high, low) = ((std::process::id() % 200) as u8, (number % 250) as u8);
         let mut machines = Vec::new();
         for place in 0..setting.size {
@@ -230,11 +233,12 @@
         std::fs::write(self.file(place), fleet).expect("written");
         let config = self.setting.directory.join(format!("{}.json", machine.name));
         std::fs::write(&config, self.configuration(&machine.name).to_string()).expect("written");
-        let mut child = Command::new(&self.setting.program)
-            .args(["serve", "--config"])
-            .arg(&config)
-            .arg("--fleet")
-            .arg(self.file(place))
+        let mut command = Command::new(&self.setting.program);
+        command.args(["serve", "--config"]).arg(&config);
+        if self.setting.fleet {
+            command.arg("--fleet").arg(self.file(place));
+        }
+        let mut child = command
             .env_remove("LB_OPS")
             .env_remove("LB_SOCKET_FD")
             .stderr(Stdio::piped())
@@ -353,6 +357,12 @@
         }
     }
 
+    /// What operators say to a machine by its second address: the way without a fleet.
+    pub fn operator(&self, place: usize, word: &str) -> Option<String> {
+        let ops = self.machines[place].ops.lock().ok().and_then(|ops| *ops)?;
+        tell(ops, word)
+    }
+
     pub fn runs(&self, place: usize) -> bool {
         self.machines[place].child.is_some() && !self.machines[place].stalled
     }
@@ -514,9 +524,14 @@
 
 /// What a machine answers to `status`.
 fn ask(ops: SocketAddr) -> Option<String> {
+    tell(ops, "status")
+}
+
+/// The last word of the answer to a command.
+fn tell(ops: SocketAddr, word: &str) -> Option<String> {
     let mut stream = TcpStream::connect_timeout(&ops, ANSWER).ok()?;
     stream.set_read_timeout(Some(ANSWER)).ok()?;
-    stream.write_all(b"status\n").ok()?;
+    stream.write_all(format!("{word}\n").as_bytes()).ok()?;
     let mut text = String::new();
     stream.read_to_string(&mut text).ok()?;
     text.split_whitespace().last().map(str::to_string)
