Heed what the directory tells before the first caller is served

Fleet::start let the first words of the node (stay out, hold check servers) reach the core by way of the task that follows the fleet, which runs after the listeners are open (agent/src/fleet/mod.rs, follow). They now go into the owner's queue before any listener is opened. one_that_starts_while_it_is_out_serves_at_no_moment fails without it ('serving' twice).

--- a/agent/src/fleet/mod.rs
+++ b/agent/src/fleet/mod.rs
@@ -104,7 +104,7 @@
             minor: config.minor,
         };
         let (status, statuses) = watch::channel(Status::default());
-        let (wanted, wants) = watch::channel(Wanted::default());
+        let (wanted, mut wants) = watch::channel(Wanted::default());
         let (figures, shown) = watch::channel(Figures::default());
         let ((stop, stops), (done, ended)) = (oneshot::channel(), oneshot::channel());
         let (ready, is_ready) = std::sync::mpsc::channel();
@@ -123,7 +123,11 @@
                 Err(error) => return drop(ready.send(Err(FleetError::Io { what: "runtime".into(), error }))),
             };
             let served = tokio::task::LocalSet::new().block_on(&runtime, async {
-                let (owner, comes) = FleetOwner::new(from, node, store, started, seeds, ends);
+                let (mut owner, comes) = FleetOwner::new(from, node, store, started, seeds, ends);
+                if let Err(error) = owner.carry_out() {
+                    let _ = ready.send(Err(error.into()));
+                    return Ok(Ok(()));
+                }
                 let listener = TcpListener::from_std(listener)?;
                 let control = tokio::net::UnixListener::from_std(control)?;
                 let _ = ready.send(Ok(()));
@@ -139,7 +143,19 @@
         thread.spawn(run).map_err(io("thread".into()))?;
         is_ready.recv().unwrap_or(Ok(()))?;
         eprintln!("steprelay: serving the fleet on {listens}");
-        spawn_local(follow(shared, wants, status, shown, config.capacity_milli));
+        // Ahead of the first caller: what the directory tells holds from the start.
+        let done = wants.borrow_and_update().clone();
+        let first = [
+            (!done.held.is_empty()).then(|| Input::Hold(servers(&done.held))),
+            done.away.map(|_| Input::Duty(OnDuty::Standby, oneshot::channel().0)),
+        ];
+        for input in first.into_iter().flatten() {
+            shared
+                .inputs
+                .try_send(input)
+                .map_err(|full| io("queue".into())(io::Error::other(full.to_string())))?;
+        }
+        spawn_local(follow(shared, wants, done, status, shown, config.capacity_milli));
         Ok(Fleet { stop: Some(stop), ended })
     }
 
@@ -157,10 +173,15 @@
     Ok(u64::from_ne_bytes(bytes))
 }
 
-/// Does what the fleet wants, and tells it how this call agent is.
+fn servers(held: &BTreeMap<u32, u64>) -> Vec<ServerId> {
+    held.keys().map(|number| ServerId(*number)).collect()
+}
+
+/// Does what the fleet wants beyond what is `done`, and tells it how this call agent is.
 async fn follow(
     shared: Shared,
     mut wants: watch::Receiver<Wanted>,
+    mut done: Wanted,
     status: watch::Sender<Status>,
     shown: watch::Receiver<Figures>,
     capacity_milli: u64,
@@ -168,8 +189,8 @@
     let mut look = interval(LOOK);
     look.set_missed_tick_behavior(MissedTickBehavior::Delay);
     let mut load = Load::default();
-    // What is done: the grant by which clients were sent away, since when, and what is held.
-    let (mut away, mut since, mut held) = (None, 0, BTreeMap::new());
+    // Since when clients are sent away.
+    let mut since = shared.clock.now();
     loop {
         tokio::select! {
             biased;
@@ -178,14 +199,13 @@
         }
         shared.fleet.replace(Some(shown.borrow().clone()));
         let wanted = wants.borrow_and_update().clone();
-        if wanted.held != held {
-            held.clone_from(&wanted.held);
-            let servers = held.keys().map(|number| ServerId(*number)).collect();
-            if shared.inputs.send(Input::Hold(servers)).await.is_err() {
+        if wanted.held != done.held {
+            done.held.clone_from(&wanted.held);
+            if shared.inputs.send(Input::Hold(servers(&done.held))).await.is_err() {
                 return;
             }
         }
-        if wanted.away != away {
+        if wanted.away != done.away {
             let duty = if wanted.away.is_some() { OnDuty::Standby } else { OnDuty::Active };
             let (ask, answer) = oneshot::channel();
             if shared.inputs.send(Input::Duty(duty, ask)).await.is_err() {
@@ -193,10 +213,10 @@
             }
             // Refused where the program stops, which is as good as away.
             let _ = answer.await;
-            if away.is_none() {
+            if done.away.is_none() {
                 since = shared.clock.now();
             }
-            away = wanted.away;
+            done.away = wanted.away;
         }
         let (ask, answer) = oneshot::channel();
         if shared.inputs.send(Input::Snapshot(ask)).await.is_err() {
@@ -204,8 +224,8 @@
         }
         let Ok(figures) = answer.await else { return };
         let now = shared.clock.now();
-        let leaving = away.is_some() && now < since + STILL_TAKEN;
-        let mut told = tell(&figures, &shared, &held);
+        let leaving = done.away.is_some() && now < since + STILL_TAKEN;
+        let mut told = tell(&figures, &shared, &done.held);
         told.load_milli = load.look(now, figures.counts.offered);
         told.capacity_milli = capacity_milli;
         told.calls += u32::from(leaving);
--- a/agent/src/fleet/owner.rs
+++ b/agent/src/fleet/owner.rs
@@ -99,7 +99,6 @@
         listener: TcpListener,
         control: UnixListener,
     ) -> Result<(), StoreError> {
-        self.carry_out()?;
         let (asked, mut asks) = mpsc::channel::<Asked>(4);
         let envelope = self.node.envelope(Payload::Hello);
         let refuse = Rc::new(move |why| {
@@ -180,8 +179,11 @@
         }
     }
 
-    /// Carries out what follows: what is to be kept is on disk before the next thing is said.
-    fn carry_out(&mut self) -> Result<(), StoreError> {
+    /// Carries out what follows, before [`run`](Self::run) what a start brings: what is to be kept is on disk before the next thing is said.
+    ///
+    /// # Errors
+    /// The disk refuses.
+    pub fn carry_out(&mut self) -> Result<(), StoreError> {
         let mut changes = Vec::new();
         for effect in self.node.take_effects() {
             let change = match effect {
