--- a/agent/src/fleet/owner.rs
+++ b/agent/src/fleet/owner.rs
@@ -179,8 +179,8 @@
         }
     }
 
-    /// Carries out what follows; before [`run`](Self::run), what a start brings. What is to be kept is on disk
-    /// before the next thing is said.
+    /// Carries out what follows; before [`run`](Self::run), what a start brings. What is to be kept is on
+    /// disk before the next thing is said.
     ///
     /// # Errors
     /// The disk refuses.
