Try three engines of agreement in one scenario

Need: the design note weighed raft, omnipaxos and openraft by what they offer. trials/consensus, apart from the workspace, has each lead five voters under a fake now, cuts the leader off and heals; make trial.

--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 # Build, test, lint and run. Everything works from a clean checkout with the tool chain alone.
 
-.PHONY: build test lint run rig
+.PHONY: build test lint run rig guards trial
 
 build:
 	cargo build --release --locked
@@ -21,6 +21,14 @@
 	SEEDS=$(SEEDS) cargo test --release --locked -p steprelay-fleet --test seeds -- --nocapture
 	cargo test --release --locked -p steprelay-fleet --test fleet -- --ignored --nocapture
 
+# Takes the fleet's guards out one by one; each has to make a test fail. Some minutes.
+guards:
+	cargo run -p steprelay-rig --bin guards -- fleet/guards.toml
+
+# Three engines of agreement in one scenario (docs/design/fleet.md).
+trial:
+	cargo run --release --locked --manifest-path trials/consensus/Cargo.toml
+
 # Serves with the configuration that LB_CONFIG names.
 run: build
 	target/release/steprelay serve
