--- a/agent/tests/common/mod.rs
+++ b/agent/tests/common/mod.rs
@@ -26,6 +26,7 @@
     pub board: Option<SocketAddr>,
     pub m3ua: Option<String>,
     pub snmp: Option<String>,
+    pub fleet: Option<String>,
     pub settings: Value,
     /// The second address, for operators.
     pub ops: Option<String>,
@@ -51,7 +52,16 @@
             "specifics": {"clearWaitMs": 200, "widths": [1, 1], "allowedPools": [[0, 1, 2, 3], [0, 1, 2, 3]]},
             "rules": {"stopSendingWithinMs": 500},
         });
-        Setting { servers, board: None, m3ua: None, snmp: None, settings, ops: None, sockets: 1024 }
+        Setting {
+            servers,
+            board: None,
+            m3ua: None,
+            snmp: None,
+            fleet: None,
+            settings,
+            ops: None,
+            sockets: 1024,
+        }
     }
 
     /// The configuration's file.
@@ -80,6 +90,9 @@
         if let Some(snmp) = &self.snmp {
             command.arg("--snmp").arg(file("snmp.toml", snmp));
         }
+        if let Some(fleet) = &self.fleet {
+            command.arg("--fleet").arg(file("fleet.toml", fleet));
+        }
         Self::run(command, config)
     }
 
--- a/agent/tests/fleet.rs
+++ b/agent/tests/fleet.rs
@@ -404,6 +404,23 @@
     assert_eq!((findings.left.len(), findings.most_away), (6, 1), "{findings:?}");
 }
 
+#[test]
+fn one_that_is_overdue_stays_counted_and_is_given_more_time() {
+    let mut rig = start(setting("overdue", 4, 2));
+    let asked = ["work", "add", "n4", "--for", "1s", "--reason", "a test"];
+    assert_eq!(rig.staff(0, &asked).0, 0);
+    rig.until(seconds(30), "it is overdue", |rig| rig.work_on("n4", 1) == "overdue");
+    assert!(rig.told().contains("work on n4 is overdue"), "{}", rig.told());
+    let (code, said) = rig.staff(0, &["work", "wait", "n4", "--within", "1s"]);
+    assert!(code == 1 && said.contains("work on n4 is overdue"), "{code} {said}");
+    add(&rig, 0, "n2");
+    rig.always(seconds(4), "nobody else goes", |rig| rig.work_on("n2", 0) == "requested");
+    assert_eq!(rig.staff(2, &["work", "extend", "n4", "--for", "10m"]).0, 0);
+    rig.until(seconds(10), "it has time", |rig| rig.work_on("n4", 0) == "out");
+    rig.roll_on(seconds(60));
+    assert_eq!(good(&mut rig).left, names([3, 1]));
+}
+
 /// A machine that is out and starts again takes nothing, from its first answer on: it served for some
 /// milliseconds until its directory was heeded.
 #[test]
--- a/agent/tests/snmp.rs
+++ b/agent/tests/snmp.rs
@@ -94,6 +94,39 @@
     assert_eq!(bulk, walked);
 }
 
+/// The figures of a fleet of one come after all others, and a walk passes over none of them.
+#[test]
+fn the_figures_of_a_fleet_can_be_walked() {
+    let server = Server::new();
+    let mut setting = Setting::new(&[server.address]);
+    setting.snmp = Some("listen = '127.0.0.1:0'\ncommunity = 'semak'\n".to_string());
+    let directory = format!("fleet-of-one-{}", std::process::id());
+    setting.fleet = Some(format!(
+        "cluster = 'one'\nname = 'n0'\nlisten = '127.0.0.1:0'\nfounders = ['n0']\ndirectory = '{directory}'\n"
+    ));
+    let mut agent = setting.start();
+    let address: SocketAddr = agent.logged("serving SNMP on ").parse().expect("an address");
+    let mut session = SyncSession::new_v2c(address, PUBLIC, Some(PATIENCE), 1).expect("a socket");
+    // It founds its council alone, and leads it.
+    let until = std::time::Instant::now() + PATIENCE;
+    while get(&mut session, &[9, 6, 0]) != Some(1) {
+        assert!(std::time::Instant::now() < until, "it does not lead");
+        std::thread::sleep(std::time::Duration::from_millis(50));
+    }
+    let (mut walked, mut at) = (Vec::new(), oid(&[9]));
+    loop {
+        let answer = session.getnext(&at).expect("an answer");
+        let (name, value) = answer.varbinds.clone().next().expect("one variable");
+        let Some(figure) = figure(&value) else { break };
+        at = name.to_owned();
+        walked.push((at.clone(), figure));
+    }
+    let names: Vec<Oid> = (1..=17).map(|object| oid(&[9, object, 0])).collect();
+    assert_eq!(walked.iter().map(|(name, _)| name.clone()).collect::<Vec<_>>(), names);
+    // Alive, suspect, dead, voters, a leader, and this one leads.
+    assert_eq!(walked.iter().take(6).map(|(_, figure)| *figure).collect::<Vec<_>>(), [1, 0, 0, 1, 1, 1]);
+}
+
 #[test]
 fn what_is_no_request_for_it_is_dropped_and_counted_and_nothing_can_be_set() {
     let (_agent, _server, mut session, address) = start();
--- a/fleet/tests/fleet.rs
+++ b/fleet/tests/fleet.rs
@@ -194,6 +194,67 @@
     assert_kept(&world);
 }
 
+/// The leader is killed at every step of another machine's work, and comes back: each step is taken once, by
+/// the same grant where one was given and used.
+#[test]
+fn a_leader_that_dies_at_any_step_changes_nothing() {
+    let steps = [State::Requested, State::Granted, State::Draining, State::Out, State::Returning];
+    for (seed, step) in (40..).zip(steps) {
+        let mut world = whole(seed, 6);
+        assert_eq!(world.add(1, 5), Some(Ok(())));
+        let at = |world: &World, step| {
+            world.leader().is_some_and(|leader| world.state_of(5, leader) == Some(step))
+        };
+        if step == State::Returning {
+            assert!(world.until(40_000, |world| at(world, State::Out)), "{}", world.logs());
+            let leader = world.leader().expect("one leads");
+            let machine = "n6".into();
+            let local = world.now + world.machines[leader].skew;
+            let node = world.machines[leader].node.as_mut().expect("it runs");
+            node.ask(local, Ask::Do(Command::Finish { machine }));
+        }
+        assert!(world.until(40_000, |world| at(world, step)), "{step:?} {}", world.logs());
+        let leader = world.leader().expect("one leads");
+        world.kill(leader);
+        let other = |world: &World| world.leader().is_some_and(|now| now != leader);
+        assert!(world.until(20_000, other), "{step:?} {}", world.logs());
+        world.start(leader);
+        assert!(roll(&mut world, 90_000), "{step:?} {}", world.logs());
+        assert_kept(&world);
+        assert_eq!(world.machines[5].left_by.len(), 1, "{step:?} {}", world.logs());
+    }
+}
+
+/// Two members that are both told to found a council anew: they say so and neither takes up the other's,
+/// until staff choose one.
+#[test]
+fn two_councils_of_one_number_stand_until_staff_choose() {
+    let mut world = whole(50, 5);
+    for place in [0, 1] {
+        world.kill(place);
+        world.lose_disk(place);
+    }
+    world.partition(|place| usize::from(place == 2));
+    world.run(8_000);
+    assert!(world.refound(2) && world.refound(3), "{}", world.logs());
+    world.run(3_000);
+    world.heal();
+    world.run(8_000);
+    assert!(world.logs().contains("has another council of the same number, staff must choose"));
+    let number = |world: &World, place: usize| world.node(place).figures().foundation;
+    assert_eq!((number(&world, 2), number(&world, 3)), (2, 2));
+    // The other one comes back without its directory, and the machine that followed neither with it.
+    assert!(world.until(20_000, |world| world.node(3).figures().leader.is_some()), "{}", world.logs());
+    world.kill(2);
+    world.lose_disk(2);
+    world.run(8_000);
+    [0, 1, 2].into_iter().for_each(|place| world.start(place));
+    assert!(world.until(60_000, World::is_whole), "{}{}", world.show(), world.logs());
+    assert_eq!(world.add(0, 4), Some(Ok(())));
+    assert!(roll(&mut world, 60_000), "{}", world.logs());
+    assert_kept(&world);
+}
+
 #[test]
 fn a_holder_that_stalls_and_wakes_believing_asks_again() {
     let mut world = whole(4, 6);
@@ -260,6 +321,38 @@
     assert!(world.until(20_000, World::is_whole), "{}", world.logs());
 }
 
+/// A voter that was replaced while it was cut off is seen alive again before it knows. Its number never votes
+/// again, though the council is short of a voter at that moment.
+#[test]
+fn a_number_that_was_replaced_is_not_taken_again() {
+    let mut world = whole(60, 4);
+    let leader = world.leader().expect("one leads");
+    let votes = |world: &World, id: u64| world.node(leader).agreed().voters.contains_key(&id);
+    let others: Vec<usize> =
+        (0..4).filter(|place| *place != leader && votes(&world, world.node(*place).me().node)).collect();
+    let [first, second] = others[..] else { panic!("three vote") };
+    let isolate = |world: &mut World, place: usize| {
+        world.cuts.extend((0..4).flat_map(|other| [(place, other), (other, place)]));
+    };
+    let number = world.node(first).me().node;
+    isolate(&mut world, first);
+    assert!(world.until(30_000, |world| !votes(world, number)), "{}", world.logs());
+    isolate(&mut world, second);
+    world.run(9_000);
+    // What it hears comes late, so that others know of it before it knows of them.
+    world.cuts.retain(|(one, other)| [*one, *other].contains(&second));
+    world.far = Some((first, 400));
+    let new = |world: &World| {
+        let now = world.node(first).me().node;
+        now != number && votes(world, now)
+    };
+    for _ in 0..1_200 {
+        world.step();
+        assert!(!votes(&world, number), "{}", world.logs());
+    }
+    assert!(new(&world), "{}", world.logs());
+}
+
 #[test]
 fn a_directory_of_last_week_is_found_out() {
     let mut world = whole(7, 4);
@@ -316,9 +409,7 @@
     world.run(15_000);
     assert_eq!(world.leader(), None);
     assert_eq!(world.add(rest[0], rest[1]), Some(Err(Refusal::NoMajority)));
-    let local = world.now + world.machines[rest[0]].skew;
-    let node = world.machines[rest[0]].node.as_mut().expect("it runs");
-    node.refound(local).expect("the council is lost");
+    assert!(world.refound(rest[0]), "the council is lost");
     world.start(voters[0]);
     world.start(voters[1]);
     assert!(world.until(60_000, World::is_whole), "{}", world.logs());
--- a/fleet/tests/world/mod.rs
+++ b/fleet/tests/world/mod.rs
@@ -217,6 +217,14 @@
         (self.loss, self.doubled, self.delay, self.far) = (0.0, 0.0, (1, 5), None);
     }
 
+    /// Staff found a new council at one member; whether it was done.
+    pub fn refound(&mut self, by: usize) -> bool {
+        let local = self.machines[by].clock(self.now);
+        let done = self.machines[by].node.as_mut().is_some_and(|node| node.refound(local).is_ok());
+        self.carry_out(by);
+        done
+    }
+
     pub fn random(&mut self, below: usize) -> usize {
         self.rng.random_range(0..below)
     }
--- a/trials/consensus/src/by_openraft.rs
+++ b/trials/consensus/src/by_openraft.rs
@@ -1,5 +1,5 @@
-//! `openraft`: asynchronous, with tasks and timers of its own. A fake now is tokio's paused clock; its network
-//! is a trait, and its store here the one that comes with it.
+//! `openraft`: asynchronous, with tasks and timers of its own. A fake now is tokio's paused clock; its
+//! network is a trait, and its store here the one that comes with it.
 
 use std::collections::BTreeMap;
 use std::sync::atomic::{AtomicU64, Ordering};
