--- a/agent/src/net/links.rs
+++ b/agent/src/net/links.rs
@@ -18,9 +18,10 @@
 /// What stood at a server that cannot be reached has ended after this long, seen from its caller: the limit
 /// for its release is 8 s.
 const OUT_OF_REACH: Micros = 6_500_000;
-/// A connection that owes a word is taken for silent after so many times the longest pause it lately made, or
-/// after what all servers' pauses tell if that is longer, within these bounds: a server that is short of
-/// processor answers late on a connection that is well, and of one that is asked now and then little is known.
+/// A connection that owes a word is taken for silent after so many times the longest pause it lately made,
+/// or after what all servers' pauses tell if that is longer, within these bounds: a server that is short of
+/// processor answers late on a connection that is well, and of one that is asked now and then little is
+/// known.
 const PAUSES: Micros = 3;
 const SOON: Micros = 120_000;
 const LATE: Micros = 2_000_000;
@@ -28,9 +29,9 @@
 /// nothing: where a server is asked every few seconds, what it took last is all that is known.
 const FORGETS: Micros = 10;
 /// A connection on which calls stand is tested once it has brought no word for so many times the mean pause
-/// between its words, since their releases come on it; but not within the second. Tests are work for servers,
-/// and those of all call agents add up: where little comes anyway, a pause tells little, and the limit for a
-/// release alone says when.
+/// between its words, since their releases come on it; but not within the second. Tests are work for
+/// servers, and those of all call agents add up: where little comes anyway, a pause tells little, and the
+/// limit for a release alone says when.
 const QUIET: Micros = 3;
 const SOON_QUIET: Micros = 1_000_000;
 /// The mean moves by one part in so many with each word.
@@ -48,8 +49,8 @@
 /// A peer of the M3UA front has one association. It answers a heartbeat within this, or the association ends.
 const BEAT: Micros = 2_000_000;
 
-/// The pauses of all servers before a word that is owed: mean, mean deviation, and what follows from these, as
-/// RFC 6298 has it (2.3) for one connection.
+/// The pauses of all servers before a word that is owed: mean, mean deviation, and what follows from these,
+/// as RFC 6298 has it (2.3) for one connection.
 #[derive(Clone, Copy, Default)]
 struct Pauses {
     mean: Micros,
@@ -140,8 +141,8 @@
         self.owes.is_some_and(|since| now - since >= self.patience(of_all))
     }
 
-    /// It owes nothing, and has brought nothing for longer than it lately did, or than the limit for a release
-    /// allows: what follows a test that is not answered takes its time too.
+    /// It owes nothing, and has brought nothing for longer than it lately did, or than the limit for a
+    /// release allows: what follows a test that is not answered takes its time too.
     fn is_quiet(&self, of_all: Pauses, now: Micros) -> bool {
         let latest = RELEASED - NO_PROOF - self.patience(of_all);
         let usual = self.pause.map_or(latest, |pause| (QUIET * pause).clamp(SOON_QUIET, latest));
@@ -539,8 +540,8 @@
         }
     }
 
-    /// Whatever a connection was used to: a test, its patience and the time without proof stay within the limit
-    /// for a release.
+    /// Whatever a connection was used to: a test, its patience and the time without proof stay within the
+    /// limit for a release.
     #[test]
     fn a_quiet_connection_is_given_up_within_the_limit_for_a_release() {
         for (longest, pause) in [(0, 1), (0, 60_000), (500, 60_000), (5_000, 10), (5_000, 60_000)] {
