--- a/Makefile
+++ b/Makefile
@@ -21,9 +21,10 @@
 	SEEDS=$(SEEDS) cargo test --release --locked -p steprelay-fleet --test seeds -- --nocapture
 	cargo test --release --locked -p steprelay-fleet --test fleet -- --ignored --nocapture
 
-# Takes the fleet's guards out one by one; each has to make a test fail. Some minutes.
+# Takes guards out one by one; each has to make a test fail. Some minutes.
 guards:
 	cargo run -p steprelay-rig --bin guards -- fleet/guards.toml
+	cargo run -p steprelay-rig --bin guards -- agent/guards.toml
 
 # Three engines of agreement in one scenario (docs/design/fleet.md).
 trial:
--- a/agent/src/fleet/config.rs
+++ b/agent/src/fleet/config.rs
@@ -6,7 +6,7 @@
 
 use serde::Deserialize;
 use steprelay_fleet::order::Limits;
-use steprelay_fleet::wire::{MAJOR, MINOR};
+use steprelay_fleet::words::{MAJOR, MINOR};
 use steprelay_fleet::Millis;
 use toml::Spanned;
 
@@ -204,9 +204,11 @@
         }
         let minor = match &raw.speaks {
             None => MINOR,
-            Some(speaks) => (0..=MINOR)
-                .find(|minor| *speaks.get_ref() == format!("{MAJOR}.{minor}"))
-                .ok_or_else(|| check.wrong(speaks.span(), "speaks", format!("1.0 to {MAJOR}.{MINOR}")))?,
+            Some(speaks) => {
+                (0..=MINOR).find(|minor| *speaks.get_ref() == format!("{MAJOR}.{minor}")).ok_or_else(
+                    || check.wrong(speaks.span(), "speaks", format!("{MAJOR}.0 to {MAJOR}.{MINOR}")),
+                )?
+            }
         };
         Ok(FleetConfig {
             minor,
--- a/agent/src/fleet/control.rs
+++ b/agent/src/fleet/control.rs
@@ -23,40 +23,20 @@
 /// An answer takes no longer than the council has for it, and some.
 const ANSWER_WITHIN: Duration = Duration::from_secs(12);
 
-/// What staff want.
+/// What staff want. `Pause` with a reason keeps all machines in, and without one lets them go on.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case", tag = "ask")]
 pub enum Request {
     Members,
     Work,
-    Add {
-        machine: String,
-        for_ms: Millis,
-        reason: String,
-        after: Vec<String>,
-        within_ms: Option<Millis>,
-    },
-    Extend {
-        machine: String,
-        more_ms: Millis,
-    },
-    Withdraw {
-        machine: String,
-    },
-    Done {
-        machine: String,
-    },
-    Forget {
-        machine: String,
-    },
-    Explain {
-        machine: String,
-    },
+    Add { machine: String, for_ms: Millis, reason: String, after: Vec<String>, within_ms: Option<Millis> },
+    Extend { machine: String, more_ms: Millis },
+    Withdraw { machine: String },
+    Done { machine: String },
+    Forget { machine: String },
+    Explain { machine: String },
     Refound,
-    /// With a reason: no grants; without: they go on.
-    Pause {
-        reason: Option<String>,
-    },
+    Pause { reason: Option<String> },
 }
 
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
--- a/agent/src/fleet/links.rs
+++ b/agent/src/fleet/links.rs
@@ -8,7 +8,8 @@
 use std::rc::Rc;
 use std::sync::Arc;
 
-use steprelay_fleet::wire::{self, Envelope, Payload, WireError};
+use super::frames::{self, FrameError};
+use steprelay_fleet::words::{Envelope, Payload};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
@@ -306,7 +307,7 @@
 
 async fn read_on(mut read: OwnedReadHalf, link: u64, came: &mpsc::Sender<Came>) {
     loop {
-        match read_frame(&mut read, wire::LONGEST).await {
+        match read_frame(&mut read, frames::LONGEST).await {
             Ok(Ok(Some(envelope))) => {
                 if came.send(Came::Frame { link, envelope: Box::new(envelope) }).await.is_err() {
                     return;
@@ -326,17 +327,17 @@
 async fn read_frame(
     read: &mut (impl AsyncReadExt + Unpin),
     longest: usize,
-) -> io::Result<Result<Option<Envelope>, WireError>> {
+) -> io::Result<Result<Option<Envelope>, FrameError>> {
     let mut head = [0; 4];
     read.read_exact(&mut head).await?;
-    let length = match wire::length(head) {
+    let length = match frames::length(head) {
         Ok(length) if length <= longest => length,
-        Ok(length) => return Ok(Err(WireError::TooLong(length))),
+        Ok(length) => return Ok(Err(FrameError::TooLong(length))),
         Err(error) => return Ok(Err(error)),
     };
     let mut body = vec![0; length];
     read.read_exact(&mut body).await?;
-    Ok(wire::decode(&body))
+    Ok(frames::decode(&body))
 }
 
 /// Takes connections of other members; hands over first words, and the rest of a connection once it is known
--- a/agent/src/fleet/mod.rs
+++ b/agent/src/fleet/mod.rs
@@ -5,6 +5,7 @@
 pub mod command;
 pub mod config;
 mod control;
+mod frames;
 mod links;
 mod owner;
 #[expect(clippy::result_large_err, reason = "they are boxed where they leave the module")]
@@ -20,7 +21,7 @@
 use steprelay_fleet::council::CouncilError;
 use steprelay_fleet::node::{Figures, Node, Page, Setup};
 use steprelay_fleet::swim::Member;
-use steprelay_fleet::wire::Status;
+use steprelay_fleet::words::Status;
 use tokio::net::TcpListener;
 use tokio::sync::{oneshot, watch};
 use tokio::task::spawn_local;
--- a/agent/src/fleet/owner.rs
+++ b/agent/src/fleet/owner.rs
@@ -10,7 +10,7 @@
 use steprelay_fleet::agreed::{Command, CommandId, Refusal};
 use steprelay_fleet::node::{Effect, Figures, Node};
 use steprelay_fleet::swim::Health;
-use steprelay_fleet::wire::{self, Ask, Payload, Status, Told};
+use steprelay_fleet::words::{self, Ask, Payload, Status, Told};
 use steprelay_fleet::work::{Item, Kind};
 use steprelay_fleet::Millis;
 use tokio::net::{TcpListener, UnixListener};
@@ -20,6 +20,7 @@
 
 use super::config::server_number;
 use super::control::{self, Asked, MemberRow, Request, Response, WorkRow};
+use super::frames;
 use super::links::{self, Came, Links};
 use super::store::{Change, Store, StoreError};
 use super::Wanted;
@@ -102,7 +103,7 @@
         let (asked, mut asks) = mpsc::channel::<Asked>(4);
         let envelope = self.node.envelope(Payload::Hello);
         let refuse = Rc::new(move |why| {
-            wire::encode(&wire::Envelope { payload: Payload::Refused(why), ..envelope.clone() })
+            frames::encode(&words::Envelope { payload: Payload::Refused(why), ..envelope.clone() })
         });
         spawn_local(links::accept(listener, self.links.clone(), refuse));
         spawn_local(control::serve(control, asked));
@@ -149,7 +150,7 @@
             // A seed again and again, too: after a cut nobody else may know of the other side.
             let greet = self.seeds.iter().chain(known.get(self.next % known.len().max(1)));
             for to in greet.copied().filter(|to| *to != me).collect::<Vec<_>>() {
-                let hello = || wire::encode(&self.node.envelope(Payload::Hello));
+                let hello = || frames::encode(&self.node.envelope(Payload::Hello));
                 self.links.borrow_mut().greet(to, hello);
             }
         }
@@ -211,8 +212,8 @@
         match effect {
             Effect::Send { to, payload } => {
                 let first = matches!(payload, Payload::Welcome { .. } | Payload::Refused(_));
-                let frame = wire::encode(&self.node.envelope(payload));
-                let hello = || wire::encode(&self.node.envelope(Payload::Hello));
+                let frame = frames::encode(&self.node.envelope(payload));
+                let hello = || frames::encode(&self.node.envelope(Payload::Hello));
                 self.links.borrow_mut().send(to, frame, first, hello);
             }
             Effect::Leave { grant } | Effect::Stay { grant } => {
@@ -278,7 +279,7 @@
             version: self
                 .node
                 .minor_of(&member.name)
-                .map_or_else(String::new, |minor| format!("{}.{minor}", wire::MAJOR)),
+                .map_or_else(String::new, |minor| format!("{}.{minor}", words::MAJOR)),
             name: member.name,
             zone: member.zone,
         };
--- a/agent/src/net/links.rs
+++ b/agent/src/net/links.rs
@@ -28,6 +28,8 @@
 /// The longest pause that is remembered falls by one part in so many with each shorter one. Time alone tells
 /// nothing: where a server is asked every few seconds, what it took last is all that is known.
 const FORGETS: Micros = 10;
+/// What is rare among pauses before any is known.
+const RARE: Micros = 1_000_000;
 /// A connection on which calls stand is tested once it has brought no word for so many times the mean pause
 /// between its words, since their releases come on it; but not within the second. Tests are work for
 /// servers, and those of all call agents add up: where little comes anyway, a pause tells little, and the
@@ -49,9 +51,6 @@
 /// A peer of the M3UA front has one association. It answers a heartbeat within this, or the association ends.
 const BEAT: Micros = 2_000_000;
 
-/// What is rare before any pause is known.
-const RARE: Micros = 1_000_000;
-
 /// The pauses of all servers before a word that is owed: mean and mean deviation, and what follows from
 /// these, as RFC 6298 has it (2.1 to 2.3) for one connection.
 #[derive(Clone, Copy, Default)]
@@ -605,6 +604,33 @@
         assert!(relief(&mut links, 1_700 * MS).is_some());
     }
 
+    /// One that takes 400 ms each time, and is asked every 5 s among others that answer at once, is no more
+    /// silent than they are: what it took last counts however long ago it was.
+    #[test]
+    fn a_slow_server_among_quick_ones_is_known_as_slow() {
+        let (mut links, mut now) = (links(), 0);
+        let (slow, quick) = (LinkId { server: AT, epoch: 1 }, ServerId(2));
+        links.listed(quick, Way::Platform(([127, 0, 0, 1], 2).into()), now);
+        let (other, _) = links.due(now)[0];
+        links.up(other, conn::channel().0, now);
+        for call in 1..=10 {
+            now += 4_000 * MS;
+            for number in 0..20 {
+                let asked = now + number * 50 * MS;
+                links.post(quick, set_up(100 + call), asked);
+                links.heard(other, Some(CallId(100 + call)), false, asked + MS);
+            }
+            now += 1_000 * MS;
+            links.post(AT, set_up(call), now);
+            if call > 1 {
+                assert!(relief(&mut links, now + 399 * MS).is_none(), "call {call}");
+            }
+            links.heard(slow, Some(CallId(call)), false, now + 400 * MS);
+        }
+        links.post(AT, set_up(11), now + 1_000 * MS);
+        assert!(relief(&mut links, now + 2_200 * MS).is_some(), "but three times that is silence");
+    }
+
     /// Servers that are asked every 5 s and answer after 150 to 350 ms are not silent, and neither is another
     /// one when it is asked first. Remembered by time alone, each was taken for silent every time.
     #[test]
--- a/agent/tests/fleet.rs
+++ b/agent/tests/fleet.rs
@@ -443,6 +443,21 @@
     assert_eq!(good(&mut rig).left, names([2]));
 }
 
+/// An empty list would be taken for the council's word that nothing is open.
+#[test]
+fn one_that_never_heard_of_a_council_says_so() {
+    let mut setting = setting("unheard", 3, 3);
+    setting.rate = 0.0;
+    setting.plan.phases.insert(0, phase("cut", vec![Rule::cut(&[], &[], true)]));
+    let mut rig = Rig::start(setting);
+    let (code, said) = rig.staff(1, &["work", "list", "--json"]);
+    assert!(code == 1 && said.contains("nothing has been heard of the council yet"), "{code} {said}");
+    rig.phase("well");
+    rig.settle();
+    let (code, said) = rig.staff(1, &["work", "list", "--json"]);
+    assert_eq!((code, said.trim()), (0, "[]"));
+}
+
 /// Strangers are told why they are refused.
 #[test]
 fn another_cluster_and_another_version_get_a_told_refusal() {
--- a/fleet/src/agreed.rs
+++ b/fleet/src/agreed.rs
@@ -5,6 +5,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::words::MAJOR;
 use crate::work::{step, Event, Item, Kind, NotNow, State};
 use crate::Millis;
 
@@ -134,7 +135,7 @@
     Alive(String),
     #[error("all work is paused: {0}")]
     Paused(String),
-    #[error("{0} speaks 1.{1}, and this needs 1.{2} everywhere")]
+    #[error("{0} speaks {MAJOR}.{1}, and this needs {MAJOR}.{2} everywhere")]
     TooOld(String, u16, u16),
     #[error("there are too many {0}")]
     TooMany(String),
--- a/fleet/src/lib.rs
+++ b/fleet/src/lib.rs
@@ -4,7 +4,7 @@
 //!
 //! Three kinds of knowledge are kept apart:
 //!
-//! - *seen*: what this call agent itself does and holds ([`wire::Status`] of its own);
+//! - *seen*: what this call agent itself does and holds ([`words::Status`] of its own);
 //! - *told*: who is alive ([`swim`], over a SWIM library) and how the others are (their statuses, with an
 //!   age);
 //! - *agreed*: the council's log ([`council`], over a raft library) and what follows from it ([`agreed`]).
@@ -25,7 +25,7 @@
 pub mod node;
 pub mod order;
 pub mod swim;
-pub mod wire;
+pub mod words;
 pub mod work;
 
 /// Milliseconds of a monotonic clock, from any start.
--- a/fleet/src/node/mod.rs
+++ b/fleet/src/node/mod.rs
@@ -19,7 +19,7 @@
 use crate::council::{Council, CouncilError, Kept, Step, Write};
 use crate::order::{self, Limits, Seen, Sight};
 use crate::swim::{Found, Health, Member, Swim};
-use crate::wire::{Ask, Envelope, Foundation, Payload, Status, Told};
+use crate::words::{Ask, Envelope, Foundation, Payload, Status, Told, MAJOR};
 use crate::work::{Event, Item, Kind, State};
 use crate::Millis;
 use lead::Lead;
@@ -40,7 +40,7 @@
     /// The first council, by names; the first of them founds it.
     pub founders: Vec<String>,
     pub limits: Limits,
-    /// The minor version that this member speaks, up to [`MINOR`](crate::wire::MINOR).
+    /// The minor version that this member speaks, up to [`MINOR`](crate::words::MINOR).
     pub minor: u16,
 }
 
@@ -418,7 +418,10 @@
         }
         let spoken = self.page.agreed.spoken;
         if minor < spoken {
-            return refuse(self, format!("version 1.{minor} is spoken there, and the log holds 1.{spoken}"));
+            return refuse(
+                self,
+                format!("version {MAJOR}.{minor} is spoken there, and the log holds {MAJOR}.{spoken}"),
+            );
         }
         if let Some(peer) = self.peers.get_mut(&from.name).filter(|peer| peer.member.boot == from.boot) {
             peer.minor = Some(minor);
--- a/fleet/src/order.rs
+++ b/fleet/src/order.rs
@@ -7,7 +7,7 @@
 
 use crate::agreed::{Agreed, Refusal};
 use crate::swim::Health;
-use crate::wire::Status;
+use crate::words::Status;
 use crate::work::{Item, Kind, State};
 use crate::Millis;
 
--- a/fleet/src/swim.rs
+++ b/fleet/src/swim.rs
@@ -9,6 +9,7 @@
 use std::num::{NonZeroU8, NonZeroUsize};
 use std::time::Duration;
 
+use compact_str::CompactString;
 use foca::{AccumulatingRuntime, Config, Foca, Identity, OwnedNotification, PostcardCodec, Timer};
 use rand::rngs::StdRng;
 use rand::SeedableRng;
@@ -31,14 +32,15 @@
 }
 
 impl Identity for Member {
-    type Addr = String;
+    /// Compared for every member at every update: a name of up to 24 octets is copied without an allocation.
+    type Addr = CompactString;
 
     fn renew(&self) -> Option<Self> {
         Some(Member { life: self.life + 1, ..self.clone() })
     }
 
-    fn addr(&self) -> String {
-        self.name.clone()
+    fn addr(&self) -> CompactString {
+        CompactString::new(&self.name)
     }
 
     fn win_addr_conflict(&self, other: &Self) -> bool {
--- a/fleet/src/wire.rs
+++ b/fleet/src/words.rs
@@ -1,5 +1,4 @@
-//! What members say to each other. A frame is a length (4 octets), the version of the speaker (2 and 2) and
-//! an [`Envelope`]. Sockets carry frames; this file only says what they hold.
+//! What members say to each other. How that goes over a link is the front's matter.
 
 use serde::{Deserialize, Serialize};
 
@@ -11,11 +10,6 @@
 /// ([`level`](crate::agreed::Agreed::level)). 1.1: staff can pause all work.
 pub const MAJOR: u16 = 1;
 pub const MINOR: u16 = 1;
-/// A frame is no longer than this, its length not counted.
-pub const LONGEST: usize = 1 << 20;
-/// The length, and the two halves of the version.
-pub const HEAD: usize = 8;
-
 /// Names one council from its founding on: its number grows with each refounding.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct Foundation {
@@ -38,7 +32,8 @@
     /// The council that the sender knows of.
     pub foundation: Foundation,
     pub payload: Payload,
-    /// The minor version that the sender speaks; the frame's head says it.
+    /// The minor version that the sender speaks. The front says it ahead of the rest, so that one that speaks
+    /// another is understood as far as it goes.
     #[serde(skip)]
     pub minor: u16,
 }
@@ -118,59 +113,3 @@
     /// For each class of calls, the check servers that can serve it now.
     pub classes: Vec<Vec<u32>>,
 }
-
-#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
-pub enum WireError {
-    #[error("a frame of {0} octets is too long")]
-    TooLong(usize),
-    #[error("a frame of {0} octets is too short")]
-    TooShort(usize),
-    #[error("version {0}.{1} is spoken there, and {MAJOR}.{MINOR} here")]
-    Version(u16, u16),
-    #[error("a frame can't be read")]
-    Unreadable,
-}
-
-/// The frame of an envelope, in its sender's version.
-pub fn encode(envelope: &Envelope) -> Vec<u8> {
-    // Nothing that an envelope holds can fail to be written into memory.
-    let body = postcard::to_stdvec(envelope).unwrap_or_default();
-    let mut frame = Vec::with_capacity(HEAD + body.len());
-    frame.extend_from_slice(&(body.len() as u32 + 4).to_be_bytes());
-    frame.extend_from_slice(&MAJOR.to_be_bytes());
-    frame.extend_from_slice(&envelope.minor.to_be_bytes());
-    frame.extend_from_slice(&body);
-    frame
-}
-
-/// How many octets follow the length.
-///
-/// # Errors
-/// No frame is so long, or so short.
-pub fn length(head: [u8; 4]) -> Result<usize, WireError> {
-    match u32::from_be_bytes(head) as usize {
-        long if long > LONGEST => Err(WireError::TooLong(long)),
-        short if short < 4 => Err(WireError::TooShort(short)),
-        fits => Ok(fits),
-    }
-}
-
-/// Reads what follows the length; `None` where a newer version says something that is not known here.
-///
-/// # Errors
-/// The version is another one, or nothing can be made of it.
-pub fn decode(frame: &[u8]) -> Result<Option<Envelope>, WireError> {
-    let (Some((major, rest)), 4..) = (frame.split_first_chunk::<2>(), frame.len()) else {
-        return Err(WireError::TooShort(frame.len()));
-    };
-    let (minor, body) = rest.split_first_chunk::<2>().ok_or(WireError::TooShort(frame.len()))?;
-    let (major, minor) = (u16::from_be_bytes(*major), u16::from_be_bytes(*minor));
-    if major != MAJOR {
-        return Err(WireError::Version(major, minor));
-    }
-    match postcard::take_from_bytes::<Envelope>(body) {
-        Ok((envelope, rest)) if rest.is_empty() || minor > MINOR => Ok(Some(Envelope { minor, ..envelope })),
-        Err(_) if minor > MINOR => Ok(None),
-        _ => Err(WireError::Unreadable),
-    }
-}
--- a/fleet/tests/order.rs
+++ b/fleet/tests/order.rs
@@ -3,7 +3,7 @@
 use steprelay_fleet::agreed::{Agreed, Command, CommandId, Entry};
 use steprelay_fleet::order::{explain, next, Limits, Seen, Sight};
 use steprelay_fleet::swim::Health;
-use steprelay_fleet::wire::Status;
+use steprelay_fleet::words::Status;
 use steprelay_fleet::work::{Event, Kind};
 
 const LIMITS: Limits = Limits { most_out: 1, reserve: 0.5, calm_ms: 1_000 };
--- a/trials/consensus/src/by_hand.rs
+++ b/trials/consensus/src/by_hand.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 
-use crate::{Life, AFTER, BEFORE, BOUND, EVERY, VOTERS};
+use crate::{Life, AFTER, BEFORE, BOUND, DELAY, EVERY, VOTERS};
 
 /// The engine is ticked so often.
 pub const TICK: u64 = 100;
@@ -32,6 +32,34 @@
     }
 }
 
+/// Words on their way, by the moment at which they arrive.
+pub struct Wire<M> {
+    words: BTreeMap<(u64, u64), M>,
+}
+
+impl<M> Default for Wire<M> {
+    fn default() -> Self {
+        Wire { words: BTreeMap::new() }
+    }
+}
+
+impl<M> Wire<M> {
+    pub fn send(&mut self, seen: &mut Seen, word: M) {
+        seen.said += 1;
+        self.words.insert((seen.now + DELAY, seen.said), word);
+    }
+
+    /// The next word that has arrived; `ends` tells who says it and to whom, and a cut takes it away.
+    pub fn next(&mut self, seen: &Seen, ends: impl Fn(&M) -> [u64; 2]) -> Option<M> {
+        loop {
+            let word = self.words.first_entry().filter(|entry| entry.key().0 <= seen.now)?.remove();
+            if !ends(&word).iter().any(|end| seen.cut == Some(*end)) {
+                return Some(word);
+            }
+        }
+    }
+}
+
 pub trait ByHand: Sized {
     fn new() -> Self;
     fn seen(&mut self) -> &mut Seen;
