--- a/faults/src/lib.rs
+++ b/faults/src/lib.rs
@@ -18,6 +18,7 @@
 //! assert_eq!(decider.decide(way, 3, b"{}\n").action, Action::Pass);
 //! ```
 
+mod datagrams;
 pub mod decide;
 pub mod facts;
 pub mod frames;
--- a/faults/src/mesh.rs
+++ b/faults/src/mesh.rs
@@ -1,6 +1,6 @@
-//! Links among many: every member has a front of its own, and what passes between any two is decided by a
-//! plan with phases. Who speaks is told by the address that a connection comes from, so each member has one
-//! of its own.
+//! Links among many: every member has a front of its own, for connections and for datagrams, and what passes
+//! between any two is decided by a plan with phases. Who speaks is told by the address that it comes from, so
+//! each member has one of its own.
 //!
 //! [`Plan::decide`] is pure: a decision depends on the seed, the phase, the two members, the connection and
 //! the place of the message, and on nothing else. [`Mesh`] carries it out on sockets, on a thread of its
@@ -8,7 +8,7 @@
 
 use std::collections::BTreeMap;
 use std::io;
-use std::net::{IpAddr, SocketAddr, TcpListener as StdListener};
+use std::net::{IpAddr, SocketAddr, TcpListener as StdListener, UdpSocket as StdUdpSocket};
 use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
@@ -16,11 +16,12 @@
 use serde::{Deserialize, Serialize};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::{TcpListener, TcpStream, UdpSocket};
 use tokio::sync::{mpsc, watch};
 use tokio::task::spawn_local;
 use tokio::time::{sleep_until, Instant};
 
+use crate::datagrams;
 use crate::decide::mix;
 use crate::frames::Frames;
 use crate::plan::Framing;
@@ -143,11 +144,11 @@
     pub address: SocketAddr,
 }
 
-struct Inner {
+pub(crate) struct Inner {
     plan: Plan,
-    members: Vec<Member>,
+    pub(crate) members: Vec<Member>,
     phase: AtomicUsize,
-    connections: AtomicU64,
+    pub(crate) connections: AtomicU64,
     record: Mutex<Vec<Decision>>,
     passed: AtomicU64,
     octets: AtomicU64,
@@ -157,6 +158,7 @@
 pub struct Mesh {
     inner: Arc<Inner>,
     fronts: Vec<SocketAddr>,
+    datagram_fronts: Vec<SocketAddr>,
     _stop: watch::Sender<()>,
 }
 
@@ -166,7 +168,7 @@
     /// # Errors
     /// An address is no loopback address, or can't be listened on.
     pub fn start(plan: Plan, members: Vec<Member>) -> io::Result<Self> {
-        let mut listeners = Vec::new();
+        let (mut listeners, mut sockets) = (Vec::new(), Vec::new());
         for member in &members {
             if !member.address.ip().is_loopback() {
                 let told = format!("{}: faults stay on loopback addresses", member.name);
@@ -175,8 +177,12 @@
             let listener = StdListener::bind("127.0.0.1:0")?;
             listener.set_nonblocking(true)?;
             listeners.push(listener);
+            let socket = StdUdpSocket::bind("127.0.0.1:0")?;
+            socket.set_nonblocking(true)?;
+            sockets.push(socket);
         }
         let fronts = listeners.iter().map(StdListener::local_addr).collect::<io::Result<_>>()?;
+        let datagram_fronts = sockets.iter().map(StdUdpSocket::local_addr).collect::<io::Result<_>>()?;
         let inner = Arc::new(Inner {
             plan,
             members,
@@ -198,11 +204,16 @@
                         spawn_local(accept(shared.clone(), to, listener));
                     }
                 }
+                for (to, socket) in sockets.into_iter().enumerate() {
+                    if let Ok(socket) = UdpSocket::from_std(socket) {
+                        spawn_local(datagrams::relay(shared.clone(), to, socket));
+                    }
+                }
                 // Ends with its sender.
                 while stopped.changed().await.is_ok() {}
             });
         });
-        Ok(Mesh { inner, fronts, _stop: stop })
+        Ok(Mesh { inner, fronts, datagram_fronts, _stop: stop })
     }
 
     /// Where others reach each member, in the order in which they were named.
@@ -210,6 +221,11 @@
         &self.fronts
     }
 
+    /// The same for datagrams.
+    pub fn datagram_fronts(&self) -> &[SocketAddr] {
+        &self.datagram_fronts
+    }
+
     /// Has a phase in force from now on; `false` where the plan has none of that name.
     pub fn enter(&self, name: &str) -> bool {
         let place = self.inner.plan.phases.iter().position(|phase| phase.name == name);
@@ -241,17 +257,12 @@
 
 async fn accept(inner: Arc<Inner>, to: usize, listener: TcpListener) {
     while let Ok((near, peer)) = listener.accept().await {
-        let from = inner.members.iter().position(|member| is_of(peer.ip(), member));
-        // Strangers are no matter of a plan: they are let pass as such.
+        let from = inner.name_of(peer.ip());
         spawn_local(serve(inner.clone(), from, to, near));
     }
 }
 
-fn is_of(ip: IpAddr, member: &Member) -> bool {
-    member.address.ip() == ip
-}
-
-async fn serve(inner: Arc<Inner>, from: Option<usize>, to: usize, near: TcpStream) {
+async fn serve(inner: Arc<Inner>, from: String, to: usize, near: TcpStream) {
     let connection = inner.connections.fetch_add(1, Ordering::Relaxed);
     let Ok(far) = TcpStream::connect(inner.members[to].address).await else {
         // A dial that is refused is passed on as a reset.
@@ -260,13 +271,11 @@
     };
     let _ = (near.set_nodelay(true), far.set_nodelay(true));
     let ((near_read, near_write), (far_read, far_write)) = (near.into_split(), far.into_split());
-    let name = |place: Option<usize>| {
-        place.map_or_else(|| "stranger".to_string(), |place| inner.members[place].name.clone())
-    };
+    let to = inner.members[to].name.clone();
     // Each way ends when its reader does, and has the other side's end follow.
     tokio::join!(
-        carry(&inner, name(from), name(Some(to)), connection, near_read, far_write),
-        carry(&inner, name(Some(to)), name(from), connection, far_read, near_write),
+        carry(&inner, from.clone(), to.clone(), connection, near_read, far_write),
+        carry(&inner, to, from, connection, far_read, near_write),
     );
 }
 
@@ -294,10 +303,7 @@
             }
             frames.push(&bytes[..count]);
             while let Some(message) = frames.take() {
-                let phase = inner.phase.load(Ordering::Relaxed);
-                let place = Place { from: &from, to: &to, connection, index };
-                let fate = inner.plan.decide(phase, place);
-                inner.note(phase, place, fate);
+                let fate = inner.decide(Place { from: &from, to: &to, connection, index });
                 index += 1;
                 let at = (Instant::now() + Duration::from_millis(fate.delay_ms.into())).max(last);
                 last = at;
@@ -306,8 +312,7 @@
                     continue;
                 }
                 for _ in 0..fate.copies {
-                    inner.passed.fetch_add(1, Ordering::Relaxed);
-                    inner.octets.fetch_add(message.len() as u64, Ordering::Relaxed);
+                    inner.passed(message.len());
                     if under_way.send((at, message.clone())).await.is_err() {
                         return;
                     }
@@ -334,6 +339,25 @@
 }
 
 impl Inner {
+    /// Strangers are no matter of a plan: they are let pass as such.
+    pub(crate) fn name_of(&self, ip: IpAddr) -> String {
+        let known = self.members.iter().find(|member| member.address.ip() == ip);
+        known.map_or_else(|| "stranger".to_string(), |member| member.name.clone())
+    }
+
+    /// What becomes of a message now; it is recorded.
+    pub(crate) fn decide(&self, place: Place) -> Fate {
+        let phase = self.phase.load(Ordering::Relaxed);
+        let fate = self.plan.decide(phase, place);
+        self.note(phase, place, fate);
+        fate
+    }
+
+    pub(crate) fn passed(&self, octets: usize) {
+        self.passed.fetch_add(1, Ordering::Relaxed);
+        self.octets.fetch_add(octets as u64, Ordering::Relaxed);
+    }
+
     fn note(&self, phase: usize, place: Place, fate: Fate) {
         if fate == (Fate { copies: 1, ..Fate::default() }) {
             return;
