Judge calls over a stall, with its time added, in place of excusing them

The checker excused every call that was open at a machine when that was killed or stalled. A stall loses nothing: answers and releases are due when they were, plus the time of the stall. Only a kill still excuses what was open at that moment.

--- a/rig/src/checker.rs
+++ b/rig/src/checker.rs
@@ -10,7 +10,8 @@
 pub struct Rules {
     pub zones: BTreeMap<String, String>,
     pub most_out: usize,
-    /// A call has its answer within this, and its release within that of the server's.
+    /// A call has its answer within this, and its release within that of the server's; time for which its
+    /// machine was stalled does not count.
     pub answer_ms: u64,
     pub release_ms: u64,
     /// A machine that was killed or stalled is known as lost to the others after this.
@@ -26,7 +27,7 @@
     pub stood: usize,
     /// Answered with a refusal or an error.
     pub refused: usize,
-    /// Calls that a machine took with it when it was killed.
+    /// Calls that were open at a machine when it was killed: no answer and no release is owed for them.
     pub taken: usize,
     /// The most machines that were not serving at once, and the fewest that served.
     pub most_away: usize,
@@ -55,11 +56,19 @@
     findings
 }
 
+/// When something is due that was to come so long after a moment, by a machine that was stalled meanwhile.
+fn due(from: u64, within: u64, stalls: &[(u64, u64)]) -> u64 {
+    stalls.iter().filter(|(_, until)| *until > from).fold(from + within, |due, (since, until)| {
+        due + if *since <= due { until - since.max(&from) } else { 0 }
+    })
+}
+
 /// Each call gets one answer, and each that stood one release; but what was at a machine that was killed.
 fn calls(events: &[Event], rules: &Rules, findings: &mut Findings) {
     let mut calls: BTreeMap<u64, Call> = BTreeMap::new();
-    // From when until when a machine could do nothing.
-    let mut killed: BTreeMap<&str, Vec<(u64, u64)>> = BTreeMap::new();
+    // When a machine was killed, and from when until when it was stalled.
+    let mut killed: BTreeMap<&str, Vec<u64>> = BTreeMap::new();
+    let mut stalled: BTreeMap<&str, Vec<(u64, u64)>> = BTreeMap::new();
     let end = events.last().map_or(0, |event| event.at);
     for Event { at, what } in events {
         match what {
@@ -79,16 +88,10 @@
             }
             What::Closed { call } => calls.entry(*call).or_default().closed = Some(*at),
             What::Released { call } => calls.entry(*call).or_default().released = Some(*at),
-            What::Killed { machine } => killed.entry(machine).or_default().push((*at, *at)),
-            What::Stalled { machine } => killed.entry(machine).or_default().push((*at, end)),
+            What::Killed { machine } => killed.entry(machine).or_default().push(*at),
+            What::Stalled { machine } => stalled.entry(machine).or_default().push((*at, end)),
             What::Continued { machine } => {
-                killed
-                    .entry(machine)
-                    .or_default()
-                    .iter_mut()
-                    .last()
-                    .into_iter()
-                    .for_each(|life| life.1 = *at);
+                stalled.entry(machine).or_default().last_mut().into_iter().for_each(|stall| stall.1 = *at);
             }
             _ => {}
         }
@@ -96,8 +99,9 @@
     for (id, call) in &calls {
         findings.offered += 1;
         let over = call.ended.unwrap_or(end);
-        let during = |(from, until): &(u64, u64)| call.offered <= until + 100 && over + 100 >= *from;
+        let during = |at: &u64| call.offered <= at + 100 && over + 100 >= *at;
         let taken = killed.get(call.machine.as_str()).is_some_and(|times| times.iter().any(during));
+        let stalls = stalled.get(call.machine.as_str()).map_or(&[][..], Vec::as_slice);
         findings.taken += usize::from(taken);
         findings.stood += usize::from(call.answered.is_some());
         findings.refused += usize::from(call.answered.is_none() && call.ended.is_some());
@@ -115,16 +119,17 @@
             continue;
         }
         let first = call.answered.or(call.ended);
+        let answer_by = due(call.offered, rules.answer_ms, stalls);
         match first {
-            None if end > call.offered + rules.answer_ms => match call.closed {
+            None if end > answer_by => match call.closed {
                 Some(at) => broken(&format!("its connection was closed at {at} without an answer")),
                 None => broken("no answer"),
             },
-            Some(at) if at > call.offered + rules.answer_ms => broken("answered too late"),
+            Some(at) if at > answer_by => broken("answered too late"),
             _ => {}
         }
         if let (Some(_), None, Some(released)) = (call.answered, call.ended, call.released) {
-            if end > released + rules.release_ms {
+            if end > due(released, rules.release_ms, stalls) {
                 broken(&format!("released by its server at {released}, and not towards its caller"));
             }
         }
@@ -251,7 +256,21 @@
         twice.insert(4, ended.clone());
         assert!(judged(&twice)[0].contains("ended twice"));
         let killed = (15, What::Killed { machine: "n1".into() });
-        assert_eq!(judged(&[offered, killed, later]), Vec::<String>::new(), "its machine took it along");
+        let taken = [offered.clone(), killed, later.clone()];
+        assert_eq!(judged(&taken), Vec::<String>::new(), "its machine took it along");
+        let stalled = |from, until| {
+            let machine = || "n1".to_string();
+            [(from, What::Stalled { machine: machine() }), (until, What::Continued { machine: machine() })]
+        };
+        let during = |[stall, goes_on]: [(u64, What); 2], at| {
+            judged(&[offered.clone(), stall, goes_on, (at, What::Answered { call: 1 }), later.clone()])
+        };
+        assert_eq!(during(stalled(50, 300), 340), Vec::<String>::new(), "its machine was stalled for 250 ms");
+        assert!(during(stalled(50, 300), 360)[0].contains("answered too late"));
+        assert!(during(stalled(101, 300), 340)[0].contains("answered too late"), "it was late before");
+        let [stall, goes_on] = stalled(15, 250);
+        let lost = [offered, answered, stall, released, goes_on, later];
+        assert!(judged(&lost)[0].contains("not towards its caller"), "a stall loses nothing");
     }
 
     #[test]
