--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 # Build, test, lint and run. Everything works from a clean checkout with the tool chain alone.
 
-.PHONY: build test lint run rig guards trial trial-cost
+.PHONY: build test lint run rig guards before trial trial-cost
 
 build:
 	cargo build --release --locked
@@ -26,6 +26,14 @@
 	cargo run -p steprelay-rig --bin guards -- fleet/guards.toml
 	cargo run -p steprelay-rig --bin guards -- agent/guards.toml
 
+# The processor time of a call without a fleet against that of another commit: `make before BASE=HEAD~1`.
+BASE ?= HEAD
+before:
+	rm -rf target/before && git worktree prune && git worktree add -f --detach target/before $(BASE)
+	cd target/before && cargo build -q --release --locked -p steprelay
+	BEFORE=$(CURDIR)/target/before/target/release/steprelay cargo bench -q --locked -p steprelay --bench fleet
+	git worktree remove --force target/before
+
 # Three engines of agreement in one scenario (docs/design/fleet.md).
 trial:
 	cargo run --release --locked --manifest-path trials/consensus/Cargo.toml
--- a/agent/benches/fleet.rs
+++ b/agent/benches/fleet.rs
@@ -1,8 +1,9 @@
 //! What a fleet costs and what it brings, with real processes on this machine: a roll by the council
 //! against a fixed list with sleeps and against everybody by chance; times of a turn; idle members; a call
-//! with the fleet on and off.
+//! with the fleet on and off. With `BEFORE=PROGRAM` only a call without a fleet, against that program
+//! (`make before`).
 
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::thread::sleep;
 use std::time::{Duration, Instant};
 
@@ -147,42 +148,65 @@
     }
 }
 
-fn calls() {
-    let mut pairs = Vec::new();
-    for _ in 0..3 {
-        let mut cost = Vec::new();
-        for fleet in [false, true] {
-            let mut rig = Rig::start(setting("calls", 3, 200.0, fleet));
-            if fleet {
-                rig.settle();
-            }
-            rig.call();
-            sleep(Duration::from_secs(1));
-            let from = rig.history.now();
-            let before: u64 = (0..3).map(|place| rig.processor_ms(place)).sum();
-            sleep(WATCHED);
-            let used: u64 = (0..3).map(|place| rig.processor_ms(place)).sum::<u64>() - before;
-            let until = rig.history.now();
-            let stood = rig.history.events().into_iter().filter(|event| {
-                matches!(event.what, What::Answered { .. }) && (from..until).contains(&event.at)
-            });
-            cost.push(used as f64 * 1_000.0 / stood.count() as f64);
-        }
-        pairs.push((cost[0], cost[1]));
+/// Processor time of a call by way of three machines, in microseconds.
+fn a_call(program: Option<&Path>, fleet: bool) -> f64 {
+    let mut setting = setting("calls", 3, 200.0, fleet);
+    setting.program = program.map_or(setting.program, Path::to_path_buf);
+    let mut rig = Rig::start(setting);
+    if fleet {
+        rig.settle();
     }
-    pairs.sort_by(|one, other| (one.1 / one.0).total_cmp(&(other.1 / other.0)));
-    let (off, on) = pairs[1];
+    rig.call();
+    sleep(Duration::from_secs(1));
+    let from = rig.history.now();
+    let before: u64 = (0..3).map(|place| rig.processor_ms(place)).sum();
+    sleep(WATCHED);
+    let used: u64 = (0..3).map(|place| rig.processor_ms(place)).sum::<u64>() - before;
+    let until = rig.history.now();
+    let answered = |event: &Event| matches!(event.what, What::Answered { .. });
+    let stood = rig.history.events().into_iter().filter(|event| answered(event) && event.at >= from);
+    used as f64 * 1_000.0 / stood.filter(|event| event.at < until).count() as f64
+}
+
+/// The median of so many pairs by their ratio, with the least and the most.
+fn compare(pairs: usize, what: [&str; 2], measure: impl Fn(usize) -> f64) {
+    // The second one goes first in every other pair: what else the machine does changes over time.
+    let mut pairs: Vec<[f64; 2]> = (0..pairs)
+        .map(|pair| {
+            let first = pair % 2;
+            let one = measure(first);
+            let other = measure(1 - first);
+            if first == 0 {
+                [one, other]
+            } else {
+                [other, one]
+            }
+        })
+        .collect();
+    let ratio = |pair: &[f64; 2]| pair[1] / pair[0];
+    pairs.sort_by(|one, other| ratio(one).total_cmp(&ratio(other)));
+    let median = pairs[pairs.len() / 2];
     println!(
-        "a call at 200 a second: {off:.0} us off, {on:.0} us on, {:.2} times (median of 3 pairs)",
-        on / off
+        "a call at 200 a second: {:.0} us {}, {:.0} us {}, {:.2} times (median of {} pairs, {:.2} to {:.2})",
+        median[0],
+        what[0],
+        median[1],
+        what[1],
+        ratio(&median),
+        pairs.len(),
+        ratio(&pairs[0]),
+        ratio(&pairs[pairs.len() - 1])
     );
 }
 
 fn main() {
     let cores = std::thread::available_parallelism().map_or(0, usize::from);
     println!("{cores} cores, seed {SEED}");
+    if let Some(before) = std::env::var_os("BEFORE").map(PathBuf::from) {
+        return compare(7, ["before", "now"], |now| a_call((now == 0).then_some(&before), false));
+    }
     rolls();
     turns();
     idle();
-    calls();
+    compare(3, ["off", "on"], |on| a_call(None, on == 1));
 }
