--- a/agent/src/cli.rs
+++ b/agent/src/cli.rs
@@ -14,6 +14,7 @@
 use crate::front::m3ua::{M3uaConfig, M3uaConfigError};
 use crate::serve;
 use crate::snmp::SnmpConfig;
+use crate::trace::{self, UnknownTrace};
 
 /// A call agent in front of a few shared check servers.
 #[derive(FromArgs)]
@@ -104,6 +105,8 @@
     File(#[from] FileError),
     #[error("configuration: {0}")]
     Fleet(#[from] FleetConfigError),
+    #[error("configuration: {0}")]
+    Trace(#[from] UnknownTrace),
     #[error(transparent)]
     Conformance(#[from] ConformanceError),
     #[error(transparent)]
@@ -158,6 +161,7 @@
         let m3ua = self.m3ua.as_deref().map(|path| M3uaConfig::load(path, &config.site)).transpose()?;
         let snmp = self.snmp.as_deref().map(read_toml).transpose()?;
         let fleet = self.fleet.as_deref().map(FleetConfig::load).transpose()?;
+        trace::start()?;
         let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
         let local = tokio::task::LocalSet::new();
         Ok(local.block_on(&runtime, serve::serve(config, self.config, m3ua, snmp, fleet))?)
--- a/agent/src/fleet/owner.rs
+++ b/agent/src/fleet/owner.rs
@@ -228,7 +228,7 @@
                 }
             }
             Effect::Log(line) => eprintln!("steprelay: {line}"),
-            Effect::Write(_) | Effect::Keep(_) | Effect::Renew { .. } => {}
+            Effect::Write(_) | Effect::Keep(_) | Effect::Renew { .. } | Effect::Copies { .. } => {}
         }
     }
 
--- a/agent/src/main.rs
+++ b/agent/src/main.rs
@@ -12,6 +12,7 @@
 mod ports;
 mod serve;
 mod snmp;
+mod trace;
 
 fn main() -> std::process::ExitCode {
     cli::main()
--- a/agent/src/net/owner.rs
+++ b/agent/src/net/owner.rs
@@ -12,6 +12,7 @@
 use super::links::{Links, Watch};
 use crate::ports::conn::Outbox;
 use crate::ports::{Input, LinkId, OnDuty, Shared, Snapshot, ToClient, ToServer, Way};
+use crate::trace;
 
 /// After a signal to stop, set-ups keep coming for so long: on new connections for 0.4 s, on those for 0.2 s
 /// more, and some time to arrive.
@@ -157,6 +158,7 @@
 
     pub fn take(&mut self, input: Input) {
         let now = self.shared.clock.now();
+        trace::came(&input);
         match input {
             Input::ClientOpened { client, peer, outbox } => {
                 if let Some(before) = self.clients.insert(client, outbox) {
@@ -374,6 +376,7 @@
 
     fn do_one(&mut self, effect: Effect) {
         let now = self.shared.clock.now();
+        trace::goes(&self.core, now, &effect);
         match effect {
             Effect::SetUp { server, set_up } => {
                 let call = set_up.call;
@@ -410,6 +413,7 @@
                 }
             }
             Effect::Log(text) => eprintln!("steprelay: {text}"),
+            Effect::Promised { .. } | Effect::PassedOn { .. } => {}
         }
     }
 
--- /dev/null
+++ b/agent/src/trace.rs
@@ -0,0 +1,130 @@
+//! The way of each call, a line a step, where `LB_TRACE=calls` asks for it: for following one by its id.
+//! Without it each step costs one look at a number (`tracing`'s highest level).
+
+use std::fmt;
+use std::io;
+use std::time::{SystemTime, UNIX_EPOCH};
+
+use steprelay_core::{Core, Effect, Verdict};
+use steprelay_decisions::{CallId, Micros, Readiness};
+use tracing::level_filters::LevelFilter;
+use tracing::trace;
+use tracing_subscriber::fmt::{format::Writer, time::FormatTime};
+
+use crate::ports::Input;
+
+/// Why the environment asks for no trace that there is.
+#[derive(Debug, thiserror::Error)]
+#[error("LB_TRACE: {0:?} can't be traced, only \"calls\"")]
+pub struct UnknownTrace(String);
+
+/// Starts the trace that `LB_TRACE` names, if it names one.
+pub fn start() -> Result<(), UnknownTrace> {
+    match std::env::var("LB_TRACE") {
+        Ok(named) if named == "calls" => {
+            tracing_subscriber::fmt()
+                .with_max_level(LevelFilter::TRACE)
+                .with_writer(io::stderr)
+                .with_ansi(false)
+                .with_level(false)
+                .with_target(false)
+                .with_timer(UnixTime)
+                .init();
+            Ok(())
+        }
+        Ok(named) if !named.is_empty() => Err(UnknownTrace(named)),
+        _ => Ok(()),
+    }
+}
+
+/// Begins a line as all of the program's lines begin, and says when: by the Unix clock, which peers' logs
+/// have too.
+struct UnixTime;
+
+impl FormatTime for UnixTime {
+    fn format_time(&self, writer: &mut Writer<'_>) -> fmt::Result {
+        let at = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        write!(writer, "steprelay: call {}.{:06}", at.as_secs(), at.subsec_micros())
+    }
+}
+
+/// As on the wire.
+struct Id(CallId);
+
+impl fmt::Display for Id {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(formatter, "{:016x}", self.0 .0)
+    }
+}
+
+/// Ready servers, each with the bound of its image: what a refusal follows from.
+struct Servers<'a>(&'a Core, Micros);
+
+impl fmt::Display for Servers<'_> {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        for (entry, _, bound) in self.0.servers(self.1) {
+            if entry.state == Readiness::Ready {
+                let age = entry.started.map(|started| (self.1 - started) / 1_000);
+                write!(formatter, "{}", entry.server.0)?;
+                age.map(|age| write!(formatter, "@{age}ms")).transpose()?;
+                bound.map(|bound| write!(formatter, "<{bound:.2}")).transpose()?;
+                formatter.write_str(" ")?;
+            }
+        }
+        Ok(())
+    }
+}
+
+/// What came of a call.
+pub fn came(input: &Input) {
+    if LevelFilter::current() < LevelFilter::TRACE {
+        return;
+    }
+    match input {
+        Input::Offer { client, request } => trace!(
+            "{} set-up from {} class {} tenant {} dest {:?} number {} left {} ms",
+            Id(request.call),
+            client.0,
+            request.class,
+            request.tenant,
+            request.dest,
+            request.number,
+            request.left / 1_000
+        ),
+        Input::Unfit { client, call, .. } => trace!("{} unfit set-up from {}", Id(*call), client.0),
+        Input::ClientEnded { client, call, cause } => {
+            trace!("{} ended by {} cause {}", Id(*call), client.0, cause.0)
+        }
+        Input::ReleaseHeard { client, call } => trace!("{} release heard by {}", Id(*call), client.0),
+        Input::Answered { link, call, .. } => trace!("{} answered by server {}", Id(*call), link.server.0),
+        Input::Ended { link, call, cause, note, .. } => {
+            trace!("{} ended by server {} cause {} {note:?}", Id(*call), link.server.0, cause.0)
+        }
+        _ => {}
+    }
+}
+
+/// What goes out for a call.
+pub fn goes(core: &Core, now: Micros, effect: &Effect) {
+    if LevelFilter::current() < LevelFilter::TRACE {
+        return;
+    }
+    match effect {
+        Effect::SetUp { server, set_up } => {
+            trace!("{} set-up to server {} waits {} ms", Id(set_up.call), server.0, set_up.wait / 1_000)
+        }
+        Effect::GiveUp { server, call } => trace!("{} given up at server {}", Id(*call), server.0),
+        Effect::Release { server, call, cause } => {
+            trace!("{} released at server {} cause {}", Id(*call), server.0, cause.0)
+        }
+        Effect::Answer { client, call, .. } => trace!("{} answered to {}", Id(*call), client.0),
+        Effect::Final { client, call, verdict: Verdict::Refused { wait } } => {
+            trace!("{} refused to {} wait {wait:?}, ready: {}", Id(*call), client.0, Servers(core, now))
+        }
+        Effect::Final { client, call, verdict } => trace!("{} {verdict:?} to {}", Id(*call), client.0),
+        Effect::Released { client, call, cause } => {
+            trace!("{} released to {} cause {}", Id(*call), client.0, cause.0)
+        }
+        _ => {}
+    }
+}
--- a/agent/tests/fleet.rs
+++ b/agent/tests/fleet.rs
@@ -388,7 +388,7 @@
             rows.iter().filter(|row| row["version"] == version).count()
         };
         rig.until(seconds(20), "versions are known", |rig| {
-            (spoken(rig, "1.0"), spoken(rig, "1.1")) == (5 - upgraded, upgraded)
+            (spoken(rig, "1.0"), spoken(rig, "1.2")) == (5 - upgraded, upgraded)
         });
     });
     assert_eq!(upgraded, 5);
@@ -473,7 +473,7 @@
         String::from_utf8_lossy(&answer).into_owned()
     };
     // A length, a version and nothing that can be read.
-    assert!(told(&[0, 0, 0, 5, 0, 9, 0, 0, 0]).contains("version 9.0 is spoken there, and 1.1 here"));
+    assert!(told(&[0, 0, 0, 5, 0, 9, 0, 0, 0]).contains("version 9.0 is spoken there, and 1.2 here"));
     assert!(told(&[0, 0, 0, 6, 0, 1, 0, 0, 255, 255]).contains("a frame can't be read"));
     assert!(told(&[0xff; 8]).contains("too long"));
     assert!(told(&[]).contains("no greeting came"));
--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -10,6 +10,7 @@
 mod cause;
 mod clients;
 pub mod duty;
+mod promise;
 mod relay;
 mod route;
 mod send;
@@ -32,6 +33,8 @@
 use clients::Clients;
 pub use clients::{Bounds, ClientId, Peer};
 use duty::Duty;
+pub use promise::Promise;
+use promise::Promises;
 use relay::Relay;
 use route::Route;
 use send::Pending;
@@ -104,6 +107,17 @@
         client: ClientId,
         inputs: u64,
     },
+    /// What is promised of a call has changed, `None` for nothing any more; where it was asked for. `by`: when
+    /// its caller must have heard of it, where that follows from it.
+    Promised {
+        call: CallId,
+        promise: Option<Promise>,
+        by: Option<Micros>,
+    },
+    /// A release of a call that was never known here is passed on; where promises are told.
+    PassedOn {
+        call: CallId,
+    },
     Log(String),
 }
 
@@ -171,6 +185,7 @@
     relay: Relay,
     book: Book,
     duty: Duty,
+    promises: Promises,
     /// A look for quiet connections is due.
     letting_go: bool,
     wakes: BinaryHeap<Reverse<(Micros, Wake)>>,
@@ -191,6 +206,7 @@
             relay: Relay::default(),
             book: Book::new(site_classes),
             duty: Duty::default(),
+            promises: Promises::default(),
             letting_go: false,
             wakes: BinaryHeap::from([Reverse((now + SWEEP, Wake::Sweep))]),
             actions: VecDeque::new(),
--- /dev/null
+++ b/core/src/promise.rs
@@ -0,0 +1,178 @@
+//! What is promised of calls, told as it changes to whoever keeps copies of it, and taken over from a call
+//! agent that was lost. Nothing of it happens unless it is asked for ([`Core::tell_promises`]).
+//!
+//! While it is not known whether another has taken over ([`Core::doubt`]), nothing is said of calls of before
+//! on this call agent's own account. What a server says of one meanwhile is passed on: it says so to one call
+//! agent alone.
+
+use std::collections::BTreeSet;
+
+use steprelay_decisions::{CallId, Event, Micros, Outcome, Report, ServerId};
+
+use super::book::Over;
+use super::relay::Standing;
+use super::send::Attempt;
+use super::{BoundCall, Core, Effect, ReleaseCause, Verdict};
+
+/// What is promised of a call. Calls that are bound to circuits are no part of it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Promise {
+    /// An attempt is out at a server, and nobody was told anything yet.
+    Out(ServerId),
+    /// Its caller was told that it stands.
+    Stands(ServerId),
+    /// Its server has released it, and its caller has not confirmed that.
+    Owed(ServerId, ReleaseCause),
+}
+
+/// Whether promises are told, and what is in doubt.
+#[derive(Default)]
+pub(super) struct Promises {
+    told: bool,
+    /// Calls of before this moment may have been taken over by another.
+    doubt: Option<Micros>,
+    /// Servers that went meanwhile, with the time before which calls came to stand there.
+    gone: Vec<(ServerId, Micros)>,
+    /// New set-ups are refused: nobody could hold copies of them.
+    short: bool,
+}
+
+impl Core {
+    /// Has promises told from now on.
+    pub fn tell_promises(&mut self) {
+        self.promises.told = true;
+    }
+
+    /// Set-ups are refused while this is so.
+    pub fn refuse_uncopied(&mut self, short: bool) {
+        self.promises.short = short;
+    }
+
+    pub(super) fn is_short(&self) -> bool {
+        self.promises.short
+    }
+
+    pub(super) fn promise_is_told(&self) -> bool {
+        self.promises.told
+    }
+
+    /// The promise of a call is another one, or over. `by`: when its caller must have heard of it, where that
+    /// follows from it.
+    pub(super) fn promise(&mut self, call: CallId, promise: Option<Promise>, by: Option<Micros>) {
+        if self.promises.told && BoundCall::of(call).is_none() {
+            self.effects.push(Effect::Promised { call, promise, by });
+        }
+    }
+
+    /// All that is promised now.
+    pub fn promised(&self) -> impl Iterator<Item = (CallId, Promise)> + '_ {
+        let out = self
+            .pending
+            .iter()
+            .filter_map(|(call, pending)| Some((*call, Promise::Out(pending.out?.server))));
+        out.chain(self.relay.promised()).filter(|(call, _)| BoundCall::of(*call).is_none())
+    }
+
+    /// It is not known from now on, or known again, whether another has taken over what was promised before.
+    pub fn doubt(&mut self, now: Micros, doubt: bool) {
+        if !doubt {
+            self.promises.doubt = None;
+            for (server, before) in std::mem::take(&mut self.promises.gone) {
+                self.server_dead(now, server, before);
+            }
+        } else if self.promises.doubt.is_none() {
+            self.promises.doubt = Some(now);
+        }
+    }
+
+    /// Whether something that is so since then may be another's by now.
+    pub(super) fn is_doubted(&self, since: Micros) -> bool {
+        self.promises.doubt.is_some_and(|from| since < from)
+    }
+
+    /// A server went; what stood there is looked at again once there is no doubt.
+    pub(super) fn note_gone(&mut self, server: ServerId, before: Micros) {
+        if self.promises.doubt.is_some() && !self.promises.gone.contains(&(server, before)) {
+            self.promises.gone.push((server, before));
+        }
+    }
+
+    /// Takes over what another call agent had promised, which is lost.
+    pub fn adopt(&mut self, now: Micros, call: CallId, promise: Promise) {
+        if self.is_known(call) {
+            return self.promise(call, self.promise_of(call), None);
+        }
+        match promise {
+            Promise::Out(server) => {
+                // Nobody is at the other end of it. It may stand there by now: its release cuts that, too.
+                self.book.note_over(call, Over::Answered);
+                self.effects.push(Effect::Release { server, call, cause: ReleaseCause::NORMAL });
+                self.promise(call, None, None);
+            }
+            Promise::Stands(server) if self.route.is_listed(server) => {
+                let attempt = Attempt { server, number: 0, sent: now };
+                self.relay.adopt(call, Standing::adopted(attempt));
+            }
+            Promise::Stands(server) => self.release_to(now, None, server, call, ReleaseCause::TEMPORARY),
+            Promise::Owed(server, cause) => self.release_to(now, None, server, call, cause),
+        }
+    }
+
+    /// What one that was succeeded by this call agent knows beyond what was copied in time.
+    pub fn handed(&mut self, now: Micros, call: CallId, promise: Option<Promise>) {
+        match promise {
+            None | Some(Promise::Out(_)) => self.over_elsewhere(now, call),
+            Some(Promise::Owed(server, cause)) => {
+                let stood = self.relay.take_standing(call);
+                if let Some(standing) = stood {
+                    self.release_to(now, None, server, call, cause);
+                    self.call_over(now, call, standing, Outcome::Ok, Report::default());
+                } else if !self.is_known(call) {
+                    self.release_to(now, None, server, call, cause);
+                }
+            }
+            Some(promise) => self.adopt(now, call, promise),
+        }
+    }
+
+    /// Another call agent has seen to the end of this call.
+    pub fn over_elsewhere(&mut self, now: Micros, call: CallId) {
+        if let Some(standing) = self.relay.take_standing(call) {
+            self.call_over(now, call, standing, Outcome::Ok, Report::default());
+            self.promise(call, None, None);
+        } else if self.relay.forget_untaken(call) {
+            self.promise(call, None, None);
+        }
+        self.book.note_over(call, Over::Answered);
+    }
+
+    /// Another call agent has taken these calls over: nothing more is said of them, but for set-ups that have
+    /// no answer yet, which get theirs now.
+    pub fn renounce(&mut self, now: Micros, calls: &BTreeSet<CallId>) {
+        let told = std::mem::replace(&mut self.promises.told, false);
+        for call in calls {
+            if let Some(pending) = self.pending.get(call) {
+                let out = pending.out;
+                self.decide(now, Event::Gone { call: *call });
+                if let Some(attempt) = out {
+                    self.cancel(now, *call, attempt.number);
+                }
+                self.finish(now, *call, Verdict::Failed);
+            } else if let Some(standing) = self.relay.take_standing(*call) {
+                self.call_over(now, *call, standing, Outcome::Ok, Report::default());
+            } else {
+                self.relay.forget_owed(*call);
+            }
+        }
+        self.promises.told = told;
+    }
+
+    fn is_known(&self, call: CallId) -> bool {
+        self.pending.contains_key(&call) || self.relay.is_known(call) || self.book.over(call).is_some()
+    }
+
+    fn promise_of(&self, call: CallId) -> Option<Promise> {
+        let out = self.pending.get(&call).and_then(|pending| pending.out);
+        out.map(|attempt| Promise::Out(attempt.server)).or_else(|| self.relay.promise_of(call))
+    }
+}
--- a/core/src/relay.rs
+++ b/core/src/relay.rs
@@ -11,7 +11,7 @@
 
 use super::book::Over;
 use super::send::Attempt;
-use super::{BoundCall, ClientId, Core, Effect, Peer, ReleaseCause, Verdict, Wake};
+use super::{BoundCall, ClientId, Core, Effect, Peer, Promise, ReleaseCause, Verdict, Wake};
 
 /// A release is worth passing on this long.
 const HOLD_RELEASES: Micros = 8_000_000;
@@ -25,16 +25,25 @@
 
 #[derive(Clone, Copy, Debug)]
 pub struct Standing {
-    client: ClientId,
+    /// Who made it; nobody who is here, where another call agent had it.
+    client: Option<ClientId>,
     attempt: Attempt,
     since: Micros,
 }
 
+impl Standing {
+    /// One that stood at another call agent, since a time that is not known.
+    pub fn adopted(attempt: Attempt) -> Self {
+        Standing { client: None, attempt, since: 0 }
+    }
+}
+
 /// A release that no caller has confirmed.
 #[derive(Clone, Debug)]
 struct Owed {
     /// Who made the call, where that is known.
     client: Option<ClientId>,
+    server: ServerId,
     cause: ReleaseCause,
     since: Micros,
     /// The connections that were given it, the last one last.
@@ -69,7 +78,44 @@
 
     /// The client whose call stands.
     pub fn owner(&self, call: CallId) -> Option<ClientId> {
-        Some(self.standing.get(&call)?.client)
+        self.standing.get(&call)?.client
+    }
+
+    /// What is promised of calls that stand and of releases that are owed.
+    pub fn promised(&self) -> impl Iterator<Item = (CallId, Promise)> + '_ {
+        let calls = self.standing.keys().chain(self.owed.keys());
+        calls.filter_map(|call| Some((*call, self.promise_of(*call)?)))
+    }
+
+    pub fn promise_of(&self, call: CallId) -> Option<Promise> {
+        let owed = self.owed.get(&call).map(|owed| Promise::Owed(owed.server, owed.cause));
+        owed.or_else(|| Some(Promise::Stands(self.standing.get(&call)?.attempt.server)))
+    }
+
+    pub fn is_known(&self, call: CallId) -> bool {
+        self.standing.contains_key(&call) || self.owed.contains_key(&call)
+    }
+
+    pub fn adopt(&mut self, call: CallId, standing: Standing) {
+        self.standing.insert(call, standing);
+    }
+
+    pub fn take_standing(&mut self, call: CallId) -> Option<Standing> {
+        self.standing.remove(&call)
+    }
+
+    pub fn forget_owed(&mut self, call: CallId) {
+        self.owed.remove(&call);
+        self.untaken.remove(&call);
+    }
+
+    /// Forgets a release that nobody was given yet; whether there was one.
+    pub fn forget_untaken(&mut self, call: CallId) -> bool {
+        let untaken = self.owed.get(&call).is_some_and(|owed| owed.given.is_empty());
+        if untaken {
+            self.forget_owed(call);
+        }
+        untaken
     }
 
     pub fn stands(&self, call: CallId) -> Option<&Standing> {
@@ -110,6 +156,7 @@
         self.clients.heard(client, now);
         if self.relay.owed.get(&call).is_some_and(|owed| owed.given.contains(&client)) {
             self.relay.owed.remove(&call);
+            self.promise(call, None, None);
         }
     }
 
@@ -120,6 +167,7 @@
             return self.abandon(now, call, Over::Answered);
         }
         if let Some(standing) = self.relay.standing.remove(&call) {
+            self.promise(call, None, None);
             self.effects.push(Effect::Release { server: standing.attempt.server, call, cause });
             return self.call_over(now, call, standing, Outcome::Cancelled, Report::default());
         }
@@ -151,7 +199,8 @@
         };
         let Some(pending) = self.forget(call) else { return };
         let client = pending.client;
-        self.relay.standing.insert(call, Standing { client, attempt, since: now });
+        self.relay.standing.insert(call, Standing { client: Some(client), attempt, since: now });
+        self.promise(call, Some(Promise::Stands(server)), Some(pending.answer_by));
         self.book.stood(server, pending.class);
         self.clients.stood(client);
         self.effects.push(Effect::Answer { client, call, description });
@@ -183,7 +232,7 @@
         let standing = self.relay.stands(call).filter(|standing| standing.attempt.server == server);
         if let Some(&standing) = standing {
             self.relay.standing.remove(&call);
-            self.release_to(now, Some(standing.client), call, cause);
+            self.release_to(now, standing.client, server, call, cause);
             return self.call_over(now, call, standing, cause.outcome_after_answer(), report);
         }
         self.report(now, server, report);
@@ -195,7 +244,10 @@
             self.book.counts.released_unknown += 1;
             self.book.note_over(call, Over::Answered);
             let client = BoundCall::of(call).map(BoundCall::client_id);
-            self.release_to(now, client, call, cause);
+            if self.promise_is_told() {
+                self.effects.push(Effect::PassedOn { call });
+            }
+            self.release_to(now, client, server, call, cause);
         }
     }
 
@@ -219,12 +271,14 @@
             .relay
             .standing
             .iter()
-            .filter(|(_, standing)| standing.attempt.server == server && standing.since < before);
+            .filter(|(_, standing)| standing.attempt.server == server && standing.since < before)
+            .filter(|(_, standing)| !self.is_doubted(standing.since));
         for (call, standing) in cut.map(|(call, standing)| (*call, *standing)).collect::<Vec<_>>() {
             self.relay.standing.remove(&call);
-            self.release_to(now, Some(standing.client), call, ReleaseCause::TEMPORARY);
+            self.release_to(now, standing.client, server, call, ReleaseCause::TEMPORARY);
             self.call_over(now, call, standing, Outcome::Reset, Report::default());
         }
+        self.note_gone(server, before);
     }
 
     /// A server has been out of reach for longer than what stood there can be left without a release.
@@ -232,19 +286,36 @@
         self.server_dead(now, server, Micros::MAX);
     }
 
-    fn call_over(&mut self, now: Micros, call: CallId, over: Standing, outcome: Outcome, report: Report) {
+    pub(super) fn call_over(
+        &mut self,
+        now: Micros,
+        call: CallId,
+        over: Standing,
+        outcome: Outcome,
+        report: Report,
+    ) {
         self.book.released(call, over.attempt.server, outcome);
-        self.clients.over(over.client);
+        over.client.into_iter().for_each(|client| self.clients.over(client));
         let end = End { last: true, report, ..over.attempt.ended(now, call, outcome) };
         self.decide(now, Event::Ended(end));
     }
 
-    fn release_to(&mut self, now: Micros, client: Option<ClientId>, call: CallId, cause: ReleaseCause) {
+    pub(super) fn release_to(
+        &mut self,
+        now: Micros,
+        client: Option<ClientId>,
+        server: ServerId,
+        call: CallId,
+        cause: ReleaseCause,
+    ) {
         if self.relay.owed.len() >= MOST_OWED {
             self.book.counts.releases_lost += 1;
+            self.promise(call, None, None);
             return;
         }
-        self.relay.owed.insert(call, Owed { client, cause, since: now, given: Vec::new(), again: now });
+        self.promise(call, Some(Promise::Owed(server, cause)), None);
+        let owed = Owed { client, server, cause, since: now, given: Vec::new(), again: now };
+        self.relay.owed.insert(call, owed);
         self.relay.untaken.insert(call);
         self.release_due(now, call);
     }
@@ -252,26 +323,35 @@
     /// Looks after a release until it is confirmed, or nobody waits for it any more.
     pub(super) fn release_due(&mut self, now: Micros, call: CallId) {
         let Some(owed) = self.relay.owed.get(&call) else { return };
-        if owed.again <= now {
+        if owed.again <= now && !self.is_doubted(owed.since) {
             if now >= owed.since + HOLD_RELEASES || owed.given.len() >= MOST_GIVEN {
                 self.relay.owed.remove(&call);
                 if self.relay.untaken.remove(&call) {
                     self.book.counts.releases_lost += 1;
                 }
+                self.promise(call, None, None);
                 return;
             }
             self.pass_on(now, call);
         }
         if let Some(owed) = self.relay.owed.get(&call) {
-            self.wakes.push(Reverse((owed.again.max(now + 1), Wake::Owed(call))));
+            let at =
+                if self.is_doubted(owed.since) { now + CONFIRMED_WITHIN } else { owed.again.max(now + 1) };
+            self.wakes.push(Reverse((at, Wake::Owed(call))));
         }
     }
 
     /// Gives a release to the next connection that can take it.
     fn pass_on(&mut self, now: Micros, call: CallId) {
+        let Some(since) = self.relay.owed.get(&call).map(|owed| owed.since) else { return };
+        // Another one may have given it meanwhile.
+        let doubted = self.is_doubted(since);
         let Some(owed) = self.relay.owed.get_mut(&call) else { return };
         let untested = now >= owed.since + CONFIRMED_WITHIN;
         owed.again = now + CONFIRMED_WITHIN;
+        if doubted {
+            return;
+        }
         let Some(client) = self.clients.taker(owed.client, &owed.given, untested) else { return };
         self.effects.push(Effect::Released { client, call, cause: owed.cause });
         owed.given.push(client);
@@ -279,6 +359,7 @@
         if client.is_bound() {
             // Its front sees to it that the release is confirmed.
             self.relay.owed.remove(&call);
+            self.promise(call, None, None);
         }
     }
 
--- a/core/src/route.rs
+++ b/core/src/route.rs
@@ -43,6 +43,11 @@
         self.entries.contains_key(&server)
     }
 
+    /// Whether it is in the list, ready or not.
+    pub fn is_listed(&self, server: ServerId) -> bool {
+        self.entries.get(&server).is_some_and(|(_, entry)| entry.state != Readiness::Gone)
+    }
+
     pub fn ready(&self, server: ServerId) -> bool {
         self.entries.get(&server).is_some_and(|(_, entry)| entry.state == Readiness::Ready)
     }
--- a/core/src/send.rs
+++ b/core/src/send.rs
@@ -8,7 +8,7 @@
 
 use super::book::Over;
 use super::take_in::{answer_by, Unfit};
-use super::{Breach, ClientId, Core, Effect, LinkLoss, Request, SetUp, Verdict, Wake};
+use super::{Breach, ClientId, Core, Effect, LinkLoss, Promise, Request, SetUp, Verdict, Wake};
 
 /// Who is sent away comes back after this, since others serve it: its connection is quiet and closed by then.
 const ELSEWHERE: Micros = 100_000;
@@ -56,7 +56,7 @@
         self.clients.heard(client, now);
         self.book.counts.offered += 1;
         let unfit = match self.take_in(now, &request) {
-            Ok(_) if !self.duty.takes_set_ups(now) => {
+            Ok(_) if !self.duty.takes_set_ups(now) || self.is_short() => {
                 Verdict::Refused { wait: self.site.decisions.limits.told_wait(ELSEWHERE) }
             }
             Ok(call) if self.admission.admit(&request, self.clients.open(client)) => {
@@ -146,6 +146,7 @@
         };
         self.wakes.push(Reverse((stop_at, Wake::Stop(call, attempt.number))));
         self.book.sent(server);
+        self.promise(call, Some(Promise::Out(server)), None);
         self.effects.push(Effect::SetUp { server, set_up });
     }
 
@@ -173,6 +174,7 @@
             if matches!(end.outcome, Outcome::Timeout | Outcome::Reset | Outcome::Cancelled) {
                 pending.not_before = now + self.site.decisions.release;
             }
+            self.promise(end.call, None, None);
         }
         self.decide(now, Event::Ended(end));
     }
--- a/fleet/src/agreed.rs
+++ b/fleet/src/agreed.rs
@@ -19,6 +19,8 @@
 pub const MOST_MACHINES: usize = 1024;
 /// Voters before that are remembered.
 const MOST_RETIRED: usize = 256;
+/// Streams of copies that are written by successors, and those that are over and remembered, at most.
+const MOST_STREAMS: usize = 1024;
 /// Text of one request, at most.
 pub const LONGEST_TEXT: usize = 256;
 
@@ -89,15 +91,41 @@
     Pause {
         reason: Option<String>,
     },
+    /// Of the leader: a stream of copies whose writer is lost is written by another one from now on, in that
+    /// start of its program. Since 1.2.
+    Succeed {
+        stream: u64,
+        epoch: u64,
+        name: String,
+        boot: u64,
+    },
+    /// Of a successor: all that the stream promised was kept. Since 1.2.
+    Settle {
+        stream: u64,
+        epoch: u64,
+    },
 }
 
 impl Command {
     /// The minor version that knows this command first.
     pub fn since(&self) -> u16 {
-        u16::from(matches!(self, Command::Pause { .. }))
+        match self {
+            Command::Pause { .. } => 1,
+            Command::Succeed { .. } | Command::Settle { .. } => 2,
+            _ => 0,
+        }
     }
 }
 
+/// Who writes a stream of copies whose first writer is lost.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct Authority {
+    pub name: String,
+    pub boot: u64,
+    /// Grows with each succession; 0 is the first writer's.
+    pub epoch: u64,
+}
+
 /// A machine of the roster.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Machine {
@@ -179,9 +207,19 @@
     pub open: Vec<Item>,
     pub over: VecDeque<Item>,
     answered: VecDeque<(CommandId, Outcome)>,
+    /// Streams of copies that successors write.
+    pub streams: BTreeMap<u64, Authority>,
+    /// Those that are over, the last of them.
+    pub settled: VecDeque<u64>,
 }
 
 impl Agreed {
+    /// By which epoch a stream is written; `None` once it is over.
+    pub fn epoch(&self, stream: u64) -> Option<u64> {
+        let epoch = self.streams.get(&stream).map_or(0, |authority| authority.epoch);
+        (!self.settled.contains(&stream)).then_some(epoch)
+    }
+
     /// The request about a machine that is not over.
     pub fn item(&self, machine: &str) -> Option<&Item> {
         self.open.iter().find(|item| item.machine == machine)
@@ -250,6 +288,33 @@
                 self.version += 1;
                 Ok(())
             }
+            Command::Succeed { stream, epoch, name, boot } => {
+                let present = self.epoch(*stream).unwrap_or(u64::MAX);
+                // Exactly one: whoever was decided on by an older epoch is none.
+                if present.checked_add(1) != Some(*epoch) {
+                    let machine = format!("stream {stream:x}");
+                    return Err(Refusal::Fenced { machine, told: *epoch, present });
+                }
+                if self.streams.len() >= MOST_STREAMS && !self.streams.contains_key(stream) {
+                    return Err(Refusal::TooMany("successions".into()));
+                }
+                let authority = Authority { name: name.clone(), boot: *boot, epoch: *epoch };
+                self.streams.insert(*stream, authority);
+                self.version += 1;
+                Ok(())
+            }
+            Command::Settle { stream, epoch } => {
+                let present = self.epoch(*stream).unwrap_or(u64::MAX);
+                if present != *epoch || !self.streams.contains_key(stream) {
+                    let machine = format!("stream {stream:x}");
+                    return Err(Refusal::Fenced { machine, told: *epoch, present });
+                }
+                self.streams.remove(stream);
+                self.settled.push_back(*stream);
+                self.settled.drain(..self.settled.len().saturating_sub(MOST_STREAMS));
+                self.version += 1;
+                Ok(())
+            }
             Command::Join { name, zone, minor } => {
                 if self.roster.len() >= MOST_MACHINES && !self.roster.contains_key(name) {
                     return Err(Refusal::TooMany("machines".into()));
--- a/fleet/src/node/commands.rs
+++ b/fleet/src/node/commands.rs
@@ -153,7 +153,7 @@
                 Err(Refusal::UnknownMachine(machine.clone()))
             }
             // These are the leader's own.
-            Command::Grant { .. } | Command::Clock | Command::Join { .. } => {
+            Command::Grant { .. } | Command::Clock | Command::Join { .. } | Command::Succeed { .. } => {
                 Err(Refusal::Not("only the council says that".into()))
             }
             _ => Ok(()),
--- a/fleet/src/node/lead.rs
+++ b/fleet/src/node/lead.rs
@@ -1,5 +1,6 @@
 //! What the leader alone does: it looks for trouble, keeps the council whole, and puts work into the log.
 
+use super::streams::Leases;
 use super::*;
 
 /// The leader looks at the council and at work so often.
@@ -38,6 +39,7 @@
     pub(super) pushed: u64,
     /// Why nothing was granted, as it was last told.
     pub(super) told: String,
+    pub(super) leases: Leases,
 }
 
 impl Node {
@@ -86,6 +88,7 @@
             snapshots: now,
             pushed: 0,
             told: String::new(),
+            leases: Leases::default(),
         });
         if lead.pushed != self.page.agreed.version {
             lead.pushed = self.page.agreed.version;
@@ -112,6 +115,7 @@
         let (before, index) = (self.count, self.page.index);
         self.keep_council(now);
         self.keep_work(now);
+        self.keep_streams(now);
         if let Some(lead) = self.lead.as_mut().filter(|_| self.count > before) {
             lead.proposed = (now, index);
         }
--- a/fleet/src/node/members.rs
+++ b/fleet/src/node/members.rs
@@ -6,6 +6,8 @@
 const CALL_BACK: Millis = 1_000;
 /// Dead members are shown for so long once they are out of the roster.
 const SHOWN: Millis = 600_000;
+/// Members are looked through this seldom for each of them: in a fleet of hundreds that is most of the work.
+const LOOK_MEMBER: Millis = 1;
 /// Members and their disks that are remembered, at most.
 const MOST_KNOWN: usize = 4_096;
 
@@ -31,52 +33,54 @@
     }
 
     pub(super) fn look_at_members(&mut self, now: Millis) {
-        let mut seen: BTreeMap<String, (Member, Health)> = BTreeMap::new();
-        let me = self.me().name.clone();
-        for (member, health) in self.swim.members() {
-            if member.name == me {
-                continue;
-            }
+        if now < self.looked + LOOK_MEMBER * self.peers.len() as Millis {
+            return;
+        }
+        self.looked = now;
+        let Node { swim, peers, effects, page, .. } = self;
+        let mut seen: BTreeMap<&str, (&Member, Health)> = BTreeMap::new();
+        let me = &swim.me().name;
+        for (member, health) in swim.members().filter(|(member, _)| member.name != *me) {
             // Of two lives of one name the later one counts.
-            let later = |known: &(Member, Health)| (known.0.life, known.0.boot) < (member.life, member.boot);
-            if seen.get(&member.name).is_none_or(later) {
-                seen.insert(member.name.clone(), (member.clone(), health));
+            let later = |known: &(&Member, Health)| (known.0.life, known.0.boot) < (member.life, member.boot);
+            if seen.get(member.name.as_str()).is_none_or(later) {
+                seen.insert(&member.name, (member, health));
             }
         }
-        for (name, (member, health)) in seen {
-            let left = self.peers.get(&name).and_then(|peer| peer.left);
-            let health = match left {
+        for (name, (member, health)) in &seen {
+            let room = peers.len() < MOST_KNOWN;
+            let told = |health: Health| Effect::Log(format!("fleet: {name} is {}", health.word()));
+            let Some(peer) = peers.get_mut(*name) else {
+                if room {
+                    effects.push(told(*health));
+                    let (member, health) = (Member::clone(member), *health);
+                    let peer = Peer { member, health, since: now, left: None, status: None, minor: None };
+                    peers.insert(name.to_string(), peer);
+                }
+                continue;
+            };
+            let health = match peer.left {
                 Some(life) if life >= member.life => Health::Left,
-                _ => health,
+                _ => *health,
             };
-            let room = self.peers.len() < MOST_KNOWN;
-            match self.peers.get_mut(&name) {
-                Some(peer) => {
-                    if peer.member.boot != member.boot {
-                        (peer.status, peer.minor) = (None, None);
-                    }
-                    peer.member = member;
-                    if peer.health != health {
-                        (peer.health, peer.since) = (health, now);
-                        self.effects.push(Effect::Log(format!("fleet: {name} is {}", health.word())));
-                    }
+            if peer.member != **member {
+                if peer.member.boot != member.boot {
+                    (peer.status, peer.minor) = (None, None);
                 }
-                None if room => {
-                    self.log(format!("fleet: {name} is {}", health.word()));
-                    let peer = Peer { member, health, since: now, left: None, status: None, minor: None };
-                    self.peers.insert(name, peer);
-                }
-                None => {}
+                peer.member = Member::clone(member);
+            }
+            if peer.health != health {
+                (peer.health, peer.since) = (health, now);
+                effects.push(told(health));
             }
         }
-        let (roster, known) = (&self.page.agreed.roster, self.swim.members());
-        let known: BTreeSet<&str> = known.map(|(member, _)| member.name.as_str()).collect();
-        self.peers.retain(|name, peer| {
-            known.contains(name.as_str()) || roster.contains_key(name) || now < peer.since + SHOWN
+        let roster = &page.agreed.roster;
+        peers.retain(|name, peer| {
+            seen.contains_key(name.as_str()) || roster.contains_key(name) || now < peer.since + SHOWN
         });
         // The engine forgets its dead after a while; here they stay dead.
-        for (name, peer) in &mut self.peers {
-            if !known.contains(name.as_str()) && matches!(peer.health, Health::Alive | Health::Suspect) {
+        for (name, peer) in peers {
+            if !seen.contains_key(name.as_str()) && matches!(peer.health, Health::Alive | Health::Suspect) {
                 (peer.health, peer.since) = (Health::Dead, now);
             }
         }
@@ -153,12 +157,12 @@
         self.vouched.clear();
         let name = self.me().name.clone();
         self.page.lives.insert(name, life);
-        self.renew(None);
+        self.begin_log(None);
         self.found(now, found);
     }
 
     /// Another log begins, or none is kept until one comes.
-    pub(super) fn renew(&mut self, log: Option<Write>) {
+    pub(super) fn begin_log(&mut self, log: Option<Write>) {
         (self.council, self.lead, self.may_speak) = (None, None, true);
         self.saying = None;
         self.kept = self.page.clone();
--- a/fleet/src/node/mod.rs
+++ b/fleet/src/node/mod.rs
@@ -8,6 +8,7 @@
 mod lead;
 mod members;
 mod own;
+mod streams;
 mod voting;
 
 use std::collections::{BTreeMap, BTreeSet};
@@ -19,10 +20,11 @@
 use crate::council::{Council, CouncilError, Kept, Step, Write};
 use crate::order::{self, Limits, Seen, Sight};
 use crate::swim::{Found, Health, Member, Swim};
-use crate::words::{Ask, Envelope, Foundation, Payload, Status, Told, MAJOR};
+use crate::words::{Ask, Envelope, Foundation, Held, Payload, Status, Told, Written, MAJOR};
 use crate::work::{Event, Item, Kind, State};
 use crate::Millis;
 use lead::Lead;
+use streams::Streams;
 
 /// The council's engine is ticked so often.
 const TICK: Millis = 100;
@@ -30,6 +32,9 @@
 const MOST_ASKS: usize = 64;
 /// A leader is not heard of for so long before a new council may be founded by hand.
 const LEADERLESS: Millis = 5_000;
+/// A refusal is told in the log once, and again after this; so many are remembered.
+const REFUSED_AGAIN: Millis = 60_000;
+const MOST_REFUSED: usize = 64;
 /// Grants of a council that is lost may have gone this far beyond the copy that a new one starts from.
 const REFOUNDED: u64 = 1 << 20;
 
@@ -103,6 +108,11 @@
     Stay {
         grant: u64,
     },
+    /// A word about copies came.
+    Copies {
+        from: Box<Member>,
+        bytes: Vec<u8>,
+    },
     /// It serves again.
     Return,
     /// No new set-ups go to these check servers, each with its grant. All others are free.
@@ -200,12 +210,16 @@
     proposing: BTreeMap<CommandId, Asker>,
     count: u64,
     lead: Option<Lead>,
+    streams: Streams,
     ticked: Millis,
     called: Millis,
+    looked: Millis,
     followed: Millis,
     next_peer: usize,
     fenced: u64,
     strange: u64,
+    /// Refusals that the log told of, and when.
+    refusals: BTreeMap<String, Millis>,
     conflict: bool,
     effects: Vec<Effect>,
 }
@@ -251,12 +265,15 @@
             proposing: BTreeMap::new(),
             count: 0,
             lead: None,
+            streams: Streams::default(),
             ticked: now,
             called: now,
+            looked: 0,
             followed: 0,
             next_peer: 0,
             fenced: 0,
             strange: 0,
+            refusals: BTreeMap::new(),
             conflict: false,
             effects: Vec::new(),
         };
@@ -370,6 +387,7 @@
         if let Some(away) = self.swim.wake(now) {
             // What was asked before may have been answered long ago.
             self.begin = None;
+            self.streams.woke(now);
             self.leader_heard += away;
             for peer in self.peers.values_mut() {
                 peer.since += away;
@@ -389,6 +407,7 @@
         self.follow(now);
         self.ask_on(now);
         self.do_lead(now);
+        self.renew_lease(now);
         self.look_at_self(now);
         self.hold();
         self.keep();
@@ -400,14 +419,12 @@
         let Envelope { cluster, from, foundation, payload, minor } = envelope;
         let (to, me) = (from.address, self.me().clone());
         let refuse = |node: &mut Node, why: String| {
-            node.strange += 1;
-            node.log(format!("fleet: {} at {to} is refused: {why}", from.name));
+            node.log_refusal(now, format!("fleet: {} at {to} is refused: {why}", from.name));
             node.send(to, Payload::Refused(why));
             false
         };
         if let Payload::Refused(why) = payload {
-            self.strange += 1;
-            self.log(format!("fleet: {} at {to} refuses us: {why}", from.name));
+            self.log_refusal(now, format!("fleet: {} at {to} refuses us: {why}", from.name));
             return false;
         }
         if cluster != self.setup.cluster {
@@ -433,6 +450,9 @@
                 | Payload::State { .. }
                 | Payload::Ask { .. }
                 | Payload::Told { .. }
+                | Payload::Renew { .. }
+                | Payload::Renewed { .. }
+                | Payload::Copies(_)
         );
         if !self.adopt(now, &from, foundation) && of_council {
             self.strange += 1;
@@ -481,6 +501,9 @@
                     peer.left = Some(from.life);
                 }
             }
+            Payload::Renew { asked, writes, holds } => self.renew(now, &from, asked, &writes, holds),
+            Payload::Renewed { asked } => self.renewed(&from, asked),
+            Payload::Copies(bytes) => self.effects.push(Effect::Copies { from: Box::new(from), bytes }),
         }
         self.turn_council(now);
         self.look_at_self(now);
@@ -564,6 +587,16 @@
         self.effects.push(Effect::Send { to, payload });
     }
 
+    /// Whoever is refused greets again every second.
+    fn log_refusal(&mut self, now: Millis, line: String) {
+        self.strange += 1;
+        self.refusals.retain(|_, at| now < *at + REFUSED_AGAIN);
+        if !self.refusals.contains_key(&line) && self.refusals.len() < MOST_REFUSED {
+            self.refusals.insert(line.clone(), now);
+            self.log(line);
+        }
+    }
+
     fn log(&mut self, line: String) {
         self.effects.push(Effect::Log(line));
     }
--- a/fleet/src/node/voting.rs
+++ b/fleet/src/node/voting.rs
@@ -21,7 +21,7 @@
             self.page.foundation = theirs;
             self.page.index = 0;
             (self.leader, self.leader_heard) = (None, now);
-            self.renew(None);
+            self.begin_log(None);
             return true;
         }
         if theirs.number == ours.number && !std::mem::replace(&mut self.conflict, true) {
@@ -55,7 +55,7 @@
         let mut kept = crate::council::Disk::default();
         kept.write(write.clone());
         self.page.index = 1;
-        self.renew(Some(write));
+        self.begin_log(Some(write));
         self.council = Council::new(me.node, &kept.kept()).ok();
         (self.leader, self.leader_heard) = (None, now);
     }
@@ -173,6 +173,13 @@
             | Command::About { machine, .. } => machine.clone(),
             Command::Pause { reason: Some(why) } => return self.log(format!("fleet: work is paused: {why}")),
             Command::Pause { reason: None } => return self.log("fleet: work goes on".into()),
+            Command::Succeed { stream, epoch, name, .. } => {
+                let line = format!("fleet: {name} takes over what stream {stream:x} promised, epoch {epoch}");
+                return self.log(line);
+            }
+            Command::Settle { stream, .. } => {
+                return self.log(format!("fleet: all that stream {stream:x} promised is kept"));
+            }
             Command::Join { .. } | Command::Forget { .. } | Command::Clock => return,
         };
         let agreed = &self.page.agreed;
--- a/fleet/src/swim.rs
+++ b/fleet/src/swim.rs
@@ -5,11 +5,12 @@
 //! on instead: whoever is slow doubts itself before others.
 
 use std::collections::BTreeMap;
+use std::hash::{DefaultHasher, Hash, Hasher};
 use std::net::SocketAddr;
 use std::num::{NonZeroU8, NonZeroUsize};
+use std::rc::Rc;
 use std::time::Duration;
 
-use compact_str::CompactString;
 use foca::{AccumulatingRuntime, Config, Foca, Identity, OwnedNotification, PostcardCodec, Timer};
 use rand::rngs::StdRng;
 use rand::SeedableRng;
@@ -31,20 +32,52 @@
     pub boot: u64,
 }
 
-impl Identity for Member {
-    /// Compared for every member at every update: a name of up to 24 octets is copied without an allocation.
-    type Addr = CompactString;
+/// A member as the engine has it. For every update of any member the engine looks through all that it knows,
+/// and copies some of them: so names are compared by a number that is drawn from them once, and nothing is
+/// copied but a pointer.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(from = "Member", into = "Member")]
+struct Known {
+    key: u64,
+    member: Rc<Member>,
+}
+
+impl From<Member> for Known {
+    fn from(member: Member) -> Self {
+        let mut key = DefaultHasher::new();
+        member.name.hash(&mut key);
+        Known { key: key.finish(), member: Rc::new(member) }
+    }
+}
+
+impl From<Known> for Member {
+    fn from(known: Known) -> Self {
+        Rc::unwrap_or_clone(known.member)
+    }
+}
+
+impl PartialEq for Known {
+    fn eq(&self, other: &Self) -> bool {
+        self.key == other.key && (Rc::ptr_eq(&self.member, &other.member) || self.member == other.member)
+    }
+}
+
+impl Eq for Known {}
+
+impl Identity for Known {
+    type Addr = u64;
 
     fn renew(&self) -> Option<Self> {
-        Some(Member { life: self.life + 1, ..self.clone() })
+        let member = Member { life: self.member.life + 1, ..Member::clone(&self.member) };
+        Some(Known { key: self.key, member: Rc::new(member) })
     }
 
-    fn addr(&self) -> CompactString {
-        CompactString::new(&self.name)
+    fn addr(&self) -> u64 {
+        self.key
     }
 
     fn win_addr_conflict(&self, other: &Self) -> bool {
-        (self.life, self.node) > (other.life, other.node)
+        (self.member.life, self.member.node) > (other.member.life, other.member.node)
     }
 }
 
@@ -85,9 +118,9 @@
 pub const SLEPT: Millis = 400;
 
 pub struct Swim {
-    foca: Foca<Member, PostcardCodec, StdRng, foca::NoCustomBroadcast>,
-    runtime: AccumulatingRuntime<Member>,
-    timers: BTreeMap<(Millis, u64), Timer<Member>>,
+    foca: Foca<Known, PostcardCodec, StdRng, foca::NoCustomBroadcast>,
+    runtime: AccumulatingRuntime<Known>,
+    timers: BTreeMap<(Millis, u64), Timer<Known>>,
     count: u64,
     looked: Millis,
     /// Time that was slept through, in all.
@@ -122,7 +155,7 @@
             periodic_gossip: Some(params(GOSSIP_EVERY, 3)),
         };
         Swim {
-            foca: Foca::new(me, config, StdRng::seed_from_u64(seed), PostcardCodec),
+            foca: Foca::new(me.into(), config, StdRng::seed_from_u64(seed), PostcardCodec),
             runtime: AccumulatingRuntime::new(),
             timers: BTreeMap::new(),
             count: 0,
@@ -132,7 +165,7 @@
     }
 
     pub fn me(&self) -> &Member {
-        self.foca.identity()
+        &self.foca.identity().member
     }
 
     /// Time slept through since the start.
@@ -148,21 +181,35 @@
                 foca::State::Suspect => Health::Suspect,
                 foca::State::Down => Health::Dead,
             };
-            (member.id(), health)
+            (&*member.id().member, health)
         });
-        others.chain([(self.foca.identity(), Health::Alive)])
+        others.chain([(self.me(), Health::Alive)])
     }
 
     /// Another life begins, after one that others know of.
     pub fn live_on(&mut self, now: Millis, me: Member) -> Found {
         // Refused where it is the same one, which changes nothing.
-        let _ = self.foca.change_identity(me, &mut self.runtime);
+        let _ = self.foca.change_identity(me.into(), &mut self.runtime);
+        self.suspect_anew();
         self.drain(now)
     }
 
+    /// The engine's timers are of one life: a suspicion of the life before would last for ever. Each is held
+    /// anew, so that whom it concerns hears of it and speaks, or is dead in time.
+    fn suspect_anew(&mut self) {
+        let suspect = |member: &&foca::Member<Known>| member.state() == foca::State::Suspect;
+        let anew = |member: &foca::Member<Known>| {
+            let incarnation = member.incarnation().saturating_add(1);
+            foca::Member::new(member.id().clone(), incarnation, foca::State::Suspect)
+        };
+        let all: Vec<_> = self.foca.iter_membership_state().filter(suspect).map(anew).collect();
+        // What is no news changes nothing.
+        let _ = self.foca.apply_many(all.into_iter(), true, &mut self.runtime);
+    }
+
     /// A member was met on a link.
     pub fn met(&mut self, now: Millis, member: &Member) -> Found {
-        let _ = self.foca.announce(member.clone(), &mut self.runtime);
+        let _ = self.foca.announce(member.clone().into(), &mut self.runtime);
         self.drain(now)
     }
 
@@ -214,9 +261,21 @@
     }
 
     fn drain(&mut self, now: Millis) -> Found {
+        let mut found = self.drain_once(now);
+        if found.renewed {
+            self.suspect_anew();
+            let more = self.drain_once(now);
+            found.send.extend(more.send);
+            found.up.extend(more.up);
+            found.down.extend(more.down);
+        }
+        found
+    }
+
+    fn drain_once(&mut self, now: Millis) -> Found {
         let mut found = Found::default();
         while let Some((to, bytes)) = self.runtime.to_send() {
-            found.send.push((to, bytes.to_vec()));
+            found.send.push((to.into(), bytes.to_vec()));
         }
         while let Some((after, timer)) = self.runtime.to_schedule() {
             self.count += 1;
@@ -224,9 +283,9 @@
         }
         while let Some(told) = self.runtime.to_notify() {
             match told {
-                OwnedNotification::MemberUp(member) => found.up.push(member),
-                OwnedNotification::MemberDown(member) => found.down.push(member),
-                OwnedNotification::Rename(_, member) => found.up.push(member),
+                OwnedNotification::MemberUp(member) => found.up.push(member.into()),
+                OwnedNotification::MemberDown(member) => found.down.push(member.into()),
+                OwnedNotification::Rename(_, member) => found.up.push(member.into()),
                 OwnedNotification::Rejoin(_) => found.renewed = true,
                 _ => {}
             }
--- a/fleet/src/words.rs
+++ b/fleet/src/words.rs
@@ -4,12 +4,14 @@
 
 use crate::agreed::{Command, CommandId, Outcome};
 use crate::swim::Member;
+use crate::Millis;
 
 /// Members of one major version understand each other. A newer minor one may say things that an older one
 /// passes over, and puts nothing into the log that any member can't read
-/// ([`level`](crate::agreed::Agreed::level)). 1.1: staff can pause all work.
+/// ([`level`](crate::agreed::Agreed::level)). 1.1: staff can pause all work. 1.2: members hold copies for
+/// others, and succeed those that are lost.
 pub const MAJOR: u16 = 1;
-pub const MINOR: u16 = 1;
+pub const MINOR: u16 = 2;
 /// Names one council from its founding on: its number grows with each refounding.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct Foundation {
@@ -77,6 +79,36 @@
     },
     /// The sender is about to end in order.
     Leaving,
+    /// To the leader: the sender wants its lease renewed, by its own clock at `asked`, for the streams that it
+    /// writes; and what it holds for others.
+    Renew {
+        asked: Millis,
+        writes: Vec<Written>,
+        holds: Vec<Held>,
+    },
+    /// The leader's word that all of them are still the sender's to write.
+    Renewed {
+        asked: Millis,
+    },
+    /// Between those that write and hold copies; the front knows how to read it.
+    Copies(Vec<u8>),
+}
+
+/// A stream of copies, and the epoch by which it is written.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Written {
+    pub stream: u64,
+    pub epoch: u64,
+}
+
+/// What a member holds of a stream that another writes.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Held {
+    pub written: Written,
+    /// Who wrote it last, in which start of its program.
+    pub writer: String,
+    pub boot: u64,
+    pub number: u64,
 }
 
 /// Of members, and of staff by way of members, to the leader.
--- a/fleet/tests/fleet.rs
+++ b/fleet/tests/fleet.rs
@@ -3,8 +3,8 @@
 mod world;
 
 use steprelay_fleet::agreed::{Command, Refusal};
-use steprelay_fleet::swim::Health;
-use steprelay_fleet::words::{Ask, Told};
+use steprelay_fleet::swim::{Health, Member, Swim};
+use steprelay_fleet::words::{Ask, Payload, Told};
 use steprelay_fleet::work::{Kind, State};
 use world::World;
 
@@ -386,6 +386,58 @@
     assert_eq!(world.node(voters[2]).figures().foundation, 2);
 }
 
+/// One that was taken for dead lives on as another; whom it suspected then stayed suspect for ever, and kept
+/// all machines in.
+#[test]
+fn a_suspicion_comes_to_its_end_also_in_the_next_life() {
+    let member = |name: &str, life| {
+        let (zone, address) = ("z1".to_string(), "127.0.0.1:7801".parse().expect("an address"));
+        Member { name: name.into(), zone, address, node: 1, life, boot: 1 }
+    };
+    let (one, other) = (member("n1", 1), member("n2", 1));
+    let mut swims = [Swim::new(0, one.clone(), 1), Swim::new(0, other.clone(), 2)];
+    let found = swims[0].met(0, &other);
+    for (_, bytes) in found.send {
+        for (_, bytes) in swims[1].received(0, &bytes).send {
+            swims[0].received(0, &bytes);
+        }
+    }
+    let [swim, _] = &mut swims;
+    let health =
+        |swim: &Swim| swim.members().find(|(member, _)| member.name == "n2").map(|(_, health)| health);
+    let mut now = 0;
+    while health(swim) == Some(Health::Alive) {
+        assert!(now < 5_000, "it is not missed");
+        now += 50;
+        swim.tick(now);
+    }
+    assert_eq!(health(swim), Some(Health::Suspect));
+    swim.live_on(now, member("n1", 2));
+    for _ in 0..100 {
+        now += 50;
+        swim.tick(now);
+    }
+    assert_eq!(health(swim), Some(Health::Dead), "5 s later");
+}
+
+/// Whoever is refused greets again every second; the log tells of it once a minute.
+#[test]
+fn a_refusal_is_told_once_a_minute() {
+    let mut world = whole(23, 3);
+    let mut stranger = world.node(1).envelope(Payload::Hello);
+    stranger.cluster = "other".into();
+    for second in 0..62 {
+        let now = world.now + world.machines[0].skew;
+        let node = world.machines[0].node.as_mut().expect("it runs");
+        assert!(!node.received(now, stranger.clone()));
+        world.run(1_000);
+        let told =
+            world.machines[0].log.iter().filter(|line| line.contains("is refused: this is cluster kl"));
+        assert_eq!(told.count(), if second < 60 { 1 } else { 2 }, "after {second} s");
+    }
+    assert_eq!(world.node(0).figures().strange, 62);
+}
+
 #[test]
 fn whoever_slept_doubts_itself_first() {
     let mut world = whole(10, 5);
--- a/fleet/tests/seeds.rs
+++ b/fleet/tests/seeds.rs
@@ -11,6 +11,7 @@
 
 fn life(seed: u64) -> World {
     let mut world = World::new(seed, 7, 3, 1, 800);
+    world.copied = true;
     world.start_all();
     assert!(world.until(30_000, World::is_whole), "seed {seed}: no whole fleet\n{}", world.logs());
     for _ in 0..10 {
@@ -115,7 +116,7 @@
 }
 
 #[test]
-fn no_seed_has_two_machines_away_at_once() {
+fn no_seed_has_two_machines_away_at_once_nor_two_that_write_one_stream() {
     let seeds = std::env::var("SEEDS").ok().and_then(|seeds| seeds.parse().ok()).unwrap_or(SEEDS);
     let mut broken = Vec::new();
     let (mut left, mut settled) = (0, 0);
--- a/fleet/tests/world/mod.rs
+++ b/fleet/tests/world/mod.rs
@@ -11,9 +11,12 @@
 use steprelay_fleet::node::{Effect, Node, Page, Setup};
 use steprelay_fleet::order::Limits;
 use steprelay_fleet::swim::{Health, Member};
-use steprelay_fleet::words::{self, Ask, Envelope, Payload, Status, Told};
+use steprelay_fleet::words::{self, Ask, Envelope, Held, Payload, Status, Told, Written};
 use steprelay_fleet::work::{Kind, State};
 
+/// Words that wait for a link, and how often it is asked for, as the program has it.
+const MOST_WAITING: usize = 256;
+const DIAL_AGAIN: u64 = 300;
 /// A step of the world, in milliseconds.
 pub const STEP: u64 = 50;
 
@@ -67,6 +70,8 @@
     /// Words between voters, by their speaker.
     pub raft_said: BTreeMap<usize, u64>,
     links: BTreeSet<(usize, usize, u64, u64)>,
+    /// What waits for a link that is being made, and when it was asked for.
+    waiting: BTreeMap<(usize, usize), (u64, VecDeque<Payload>)>,
     /// Ways that carry nothing, from one to the other.
     pub cuts: BTreeSet<(usize, usize)>,
     pub loss: f64,
@@ -78,6 +83,17 @@
     /// What was broken, in words.
     pub broken: Vec<String>,
     pub ever_left: Vec<(u64, usize)>,
+    /// Each start of a member writes a stream of copies, which others hold.
+    pub copied: bool,
+    pub streams: Vec<Stream>,
+}
+
+/// A stream of copies: its number is that of its first writer's start.
+pub struct Stream {
+    pub boot: u64,
+    pub place: usize,
+    /// Who holds it, in which start.
+    pub held: Vec<(usize, u64)>,
 }
 
 pub fn address(place: usize) -> SocketAddr {
@@ -103,6 +119,7 @@
             octets: 0,
             raft_said: BTreeMap::new(),
             links: BTreeSet::new(),
+            waiting: BTreeMap::new(),
             cuts: BTreeSet::new(),
             loss: 0.0,
             doubled: 0.0,
@@ -111,6 +128,8 @@
             most_away: 0,
             broken: Vec::new(),
             ever_left: Vec::new(),
+            copied: false,
+            streams: Vec::new(),
         };
         for (place, name) in names.into_iter().enumerate() {
             let zone = format!("z{}", place % zones);
@@ -144,6 +163,7 @@
 
     pub fn start(&mut self, place: usize) {
         let (disk, boot, seed) = (self.rng.random(), self.rng.random(), self.rng.random());
+        self.streams.push(Stream { boot, place, held: Vec::new() });
         let machine = &mut self.machines[place];
         assert!(machine.node.is_none(), "{place} runs");
         let page = machine.directory.page.get_or_insert_with(|| Page::first(disk)).clone();
@@ -183,6 +203,7 @@
         let machine = &mut self.machines[place];
         (machine.node, machine.away, machine.stays) = (None, None, false);
         machine.inbox.clear();
+        self.waiting.retain(|(from, _), _| *from != place);
     }
 
     pub fn lose_disk(&mut self, place: usize) {
@@ -241,8 +262,15 @@
             && !first
             && !matches!(payload, Payload::Welcome { .. } | Payload::Refused(_))
         {
-            // A link begins with both sides' words on each other; what was to be sent is lost meanwhile.
-            return self.post(from, to, Payload::Hello);
+            // A link begins with both sides' words on each other; what is to be sent waits for them.
+            let (dialled, waiting) = self.waiting.entry((from, to)).or_default();
+            waiting.push_back(payload);
+            waiting.drain(..waiting.len().saturating_sub(MOST_WAITING));
+            if self.now >= *dialled + DIAL_AGAIN || *dialled == 0 {
+                *dialled = self.now;
+                self.post(from, to, Payload::Hello);
+            }
+            return;
         }
         if self.rng.random_bool(self.loss) {
             return;
@@ -287,6 +315,7 @@
                 // A process that starts took no work before, and takes none yet.
                 Effect::Stay { .. } => machine.stays = true,
                 Effect::Return => (machine.away, machine.stays) = (None, false),
+                Effect::Copies { .. } => {}
                 Effect::Hold(held) => machine.held = held,
                 Effect::Told { id, told } => {
                     machine.told.insert(id, told);
@@ -309,8 +338,12 @@
             }
             machine.inbox.push_back(envelope);
         }
+        if self.copied {
+            self.place_copies();
+        }
         for place in 0..self.machines.len() {
             let now = self.now;
+            let part = self.copied.then(|| self.copies_of(place));
             let machine = &mut self.machines[place];
             if machine.stalled_until > now {
                 continue;
@@ -319,6 +352,9 @@
             let Some(node) = &mut machine.node else { continue };
             // Nothing is taken in before the time is looked at.
             node.wake(local);
+            if let Some((writes, holds)) = part {
+                node.copies(writes, holds);
+            }
             node.status(Status {
                 serving: machine.away.is_none() && !machine.stays,
                 load_milli: 10_000,
@@ -339,6 +375,13 @@
                     let from = (0..self.machines.len()).find(|from| address(*from) == envelope.from.address);
                     let boot = self.machines[place].node.as_ref().map_or(0, |node| node.me().boot);
                     self.links.extend(from.map(|from| (from, place, envelope.from.boot, boot)));
+                    for way in from.into_iter().flat_map(|from| [(from, place), (place, from)]) {
+                        for payload in
+                            self.waiting.remove(&way).map(|waiting| waiting.1).into_iter().flatten()
+                        {
+                            self.post(way.0, way.1, payload);
+                        }
+                    }
                 }
                 if let Some(node) = &mut self.machines[place].node {
                     node.received(local, envelope);
@@ -356,6 +399,62 @@
         self.judge();
     }
 
+    fn boot_of(&self, place: usize) -> Option<u64> {
+        self.machines[place].node.as_ref().map(|node| node.me().boot)
+    }
+
+    /// While its writer runs, a stream is held by the two that come next; after that, by those that held it
+    /// and were not started anew.
+    fn place_copies(&mut self) {
+        let count = self.machines.len();
+        let boots: Vec<Option<u64>> = (0..count).map(|place| self.boot_of(place)).collect();
+        for stream in &mut self.streams {
+            stream.held.retain(|(place, boot)| boots[*place] == Some(*boot));
+            if boots[stream.place] == Some(stream.boot)
+                && self.machines[stream.place].stalled_until <= self.now
+            {
+                let next = (1..=2).map(|step| (stream.place + step) % count);
+                stream.held = next.filter_map(|place| Some((place, boots[place]?))).collect();
+            }
+        }
+    }
+
+    /// What a member writes by what it knows, and holds.
+    fn copies_of(&self, place: usize) -> (Vec<Written>, Vec<Held>) {
+        let Some(node) = &self.machines[place].node else { return Default::default() };
+        let boot = node.me().boot;
+        let own = node.agreed().epoch(boot).filter(|epoch| *epoch == 0);
+        let mut writes: Vec<Written> = own.into_iter().map(|epoch| Written { stream: boot, epoch }).collect();
+        let mine = node.agreed().streams.iter().filter(|(_, by)| by.boot == boot);
+        writes.extend(mine.map(|(stream, by)| Written { stream: *stream, epoch: by.epoch }));
+        let held = self.streams.iter().filter(|stream| stream.held.contains(&(place, boot)));
+        let holds = held.map(|stream| Held {
+            written: Written { stream: stream.boot, epoch: 0 },
+            writer: self.name(stream.place),
+            boot: stream.boot,
+            number: 1,
+        });
+        (writes, holds.collect())
+    }
+
+    /// Who would act on a stream now: whose lease holds, and who writes it by what it knows.
+    pub fn actors(&self, stream: u64) -> Vec<usize> {
+        let acts = |place: &usize| {
+            let machine = &self.machines[*place];
+            let Some(node) = machine.node.as_ref().filter(|_| machine.stalled_until <= self.now) else {
+                return false;
+            };
+            let leased = node.lease().is_some_and(|until| machine.clock(self.now) < until);
+            let boot = node.me().boot;
+            leased
+                && match node.agreed().streams.get(&stream) {
+                    Some(by) => by.boot == boot,
+                    None => boot == stream && node.agreed().epoch(stream) == Some(0),
+                }
+        };
+        (0..self.machines.len()).filter(acts).collect()
+    }
+
     /// What must hold at every moment, by what the machines do, not by what the council says.
     fn judge(&mut self) {
         let away: Vec<usize> =
@@ -371,6 +470,14 @@
         if zones.len() > 1 {
             self.broken.push(format!("{}: machines of {zones:?} are away at once", self.now));
         }
+        if self.copied {
+            for stream in &self.streams {
+                let actors = self.actors(stream.boot);
+                if actors.len() > 1 {
+                    self.broken.push(format!("{}: {actors:?} write stream {:x}", self.now, stream.boot));
+                }
+            }
+        }
         let mut by = BTreeMap::new();
         for (grant, place) in &self.ever_left {
             if *by.entry(*grant).or_insert(*place) != *place {
