--- a/agent/benches/fleet.rs
+++ b/agent/benches/fleet.rs
@@ -29,6 +29,8 @@
         calm_s: 0.5,
         rate,
         fleet,
+        holds: Duration::from_millis(250),
+        copies: None,
         old: Vec::new(),
         plan: Plan { seed: SEED, phases: vec![Phase { name: "well".into(), rules: Vec::new() }] },
     }
--- a/agent/src/fleet/command.rs
+++ b/agent/src/fleet/command.rs
@@ -40,6 +40,7 @@
     Pause(Pause),
     Resume(Resume),
     Refound(Refound),
+    Copies(CopiesCommand),
 }
 
 /// Keep all machines in until `resume`; those that are out return as ever.
@@ -56,6 +57,15 @@
 #[argh(subcommand, name = "resume")]
 struct Resume {}
 
+/// List the streams of promises that this member writes or holds copies of.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "copies")]
+struct CopiesCommand {
+    /// print JSON in place of a table
+    #[argh(switch)]
+    json: bool,
+}
+
 /// List the members and how they are.
 #[derive(FromArgs)]
 #[argh(subcommand, name = "members")]
@@ -283,6 +293,21 @@
                 println!("{RISK}");
                 ask(Request::Refound)?;
             }
+            FleetCommand::Copies(CopiesCommand { json }) => {
+                let rows = match ask(Request::Copies)? {
+                    Response::Copies { copies } => copies,
+                    _ => Vec::new(),
+                };
+                if json {
+                    return print_json(&rows);
+                }
+                let rows = rows.into_iter().map(|row| {
+                    let (epoch, records) = (row.epoch.to_string(), row.records.to_string());
+                    let holders = row.holders.join(", ");
+                    vec![row.stream, row.writer, epoch, records, row.under_copied.to_string(), holders]
+                });
+                print_table(["STREAM", "WRITER", "EPOCH", "RECORDS", "UNDER-COPIED", "HELD BY"], rows);
+            }
             FleetCommand::Roll(roll) => return roll.run(ask),
             FleetCommand::Work(Work { command }) => return command.run(ask),
         }
--- a/agent/src/fleet/config.rs
+++ b/agent/src/fleet/config.rs
@@ -5,6 +5,7 @@
 use std::path::{Path, PathBuf};
 
 use serde::Deserialize;
+use steprelay_copies::writer::Limits as CopyLimits;
 use steprelay_fleet::order::Limits;
 use steprelay_fleet::words::{MAJOR, MINOR};
 use steprelay_fleet::Millis;
@@ -15,6 +16,8 @@
 /// Seeds and founders, at most.
 const MOST_SEEDS: usize = 64;
 const MOST_FOUNDERS: usize = 5;
+/// Copies of what a call agent holds for others, at most.
+const MOST_COPIES: usize = 8;
 /// A fleet that must be calm for longer than a day before a grant never grants.
 const LONGEST_CALM: f64 = 86_400.0;
 
@@ -46,6 +49,18 @@
     pub capacity_milli: u64,
     /// The minor version that is spoken.
     pub minor: u16,
+    /// What this call agent holds for others is copied to other members, where this is there.
+    pub copies: Option<CopiesConfig>,
+}
+
+/// The table `[copies]`, checked.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct CopiesConfig {
+    pub limits: CopyLimits,
+    /// Callers hear that their calls stand once enough others hold that; else at once.
+    pub after_copies: bool,
+    /// Set-ups are refused while too few others could take copies; else they are served without.
+    pub refuse_short: bool,
 }
 
 #[derive(Deserialize)]
@@ -66,6 +81,29 @@
     speaks: Option<Spanned<String>>,
     #[serde(default)]
     work: RawWork,
+    copies: Option<RawCopies>,
+}
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields, default)]
+struct RawCopies {
+    copies: Spanned<usize>,
+    needed: Spanned<usize>,
+    answer: Spanned<String>,
+    when_short: Spanned<String>,
+    directory: Option<Spanned<PathBuf>>,
+}
+
+impl Default for RawCopies {
+    fn default() -> Self {
+        RawCopies {
+            copies: Spanned::new(0..0, 2),
+            needed: Spanned::new(0..0, 1),
+            answer: Spanned::new(0..0, "after-copies".into()),
+            when_short: Spanned::new(0..0, "serve".into()),
+            directory: None,
+        }
+    }
 }
 
 #[derive(Deserialize)]
@@ -130,6 +168,49 @@
         Ok(address)
     }
 
+    /// One of two words.
+    fn either(
+        &self,
+        word: &Spanned<String>,
+        key: &'static str,
+        one: &str,
+        other: &str,
+    ) -> Result<bool, FleetConfigError> {
+        match word.get_ref().as_str() {
+            word if word == one => Ok(true),
+            word if word == other => Ok(false),
+            _ => Err(self.wrong(word.span(), key, format!("\"{one}\" or \"{other}\""))),
+        }
+    }
+
+    fn copies(&self, raw: &RawCopies) -> Result<CopiesConfig, FleetConfigError> {
+        let (copies, needed) = (*raw.copies.get_ref(), *raw.needed.get_ref());
+        if !(1..=MOST_COPIES).contains(&copies) {
+            return Err(self.wrong(raw.copies.span(), "copies.copies", format!("1 to {MOST_COPIES}")));
+        }
+        if needed > copies {
+            return Err(self.wrong(
+                raw.needed.span(),
+                "copies.needed",
+                format!("more than the copies, {copies}"),
+            ));
+        }
+        let after_copies = self.either(&raw.answer, "copies.answer", "after-copies", "at-once")?;
+        if after_copies && needed == 0 {
+            let why = "0 waits for nobody; answer = \"at-once\" says so";
+            return Err(self.wrong(raw.needed.span(), "copies.needed", why));
+        }
+        if let Some(directory) = &raw.directory {
+            let why = "copies on disk are not there yet";
+            return Err(self.wrong(directory.span(), "copies.directory", why));
+        }
+        Ok(CopiesConfig {
+            limits: CopyLimits { copies, needed },
+            after_copies,
+            refuse_short: self.either(&raw.when_short, "copies.when_short", "refuse", "serve")?,
+        })
+    }
+
     /// A figure between two bounds.
     fn figure(&self, figure: &Spanned<f64>, key: &'static str, most: f64) -> Result<f64, FleetConfigError> {
         let value = *figure.get_ref();
@@ -210,8 +291,10 @@
                 )?
             }
         };
+        let copies = raw.copies.as_ref().map(|copies| check.copies(copies)).transpose()?;
         Ok(FleetConfig {
             minor,
+            copies,
             cluster: check.name(&raw.cluster, "cluster")?,
             zone: check.name(&raw.zone, "zone")?,
             listen: one(&raw.listen, "listen")?,
@@ -256,6 +339,10 @@
         let config = FleetConfig::read(Path::new("/etc/fleet/n1.toml"), GOOD).expect("good");
         assert_eq!(config.directory, Path::new("/etc/fleet/state"));
         assert_eq!(config.limits, Limits { most_out: 1, reserve: 1.0, calm_ms: 2_500 });
+        assert_eq!(config.copies, None, "off without its table");
+        let config = FleetConfig::read(Path::new("n1.toml"), &format!("{GOOD}[copies]\n")).expect("defaults");
+        let limits = CopyLimits { copies: 2, needed: 1 };
+        assert_eq!(config.copies, Some(CopiesConfig { limits, after_copies: true, refuse_short: false }));
         let short = GOOD.split("[work]").next().expect("a part");
         let config = FleetConfig::read(Path::new("n1.toml"), short).expect("defaults");
         assert_eq!(config.limits, Limits { most_out: 1, reserve: 0.2, calm_ms: 30_000 });
@@ -277,6 +364,28 @@
             ("calm_s = 2.5", "calm_s = 1e9", "f.toml, line 12, work.calm_s: 1000000000 is not"),
             ("calm_s = 2.5", "calm = 2.5", "line 12"),
             ("directory", "speaks = \"1.9\"\ndirectory", "f.toml, line 7, speaks: 1.0 to 1."),
+            ("[work]", "[copies]\ncopies = 9\n[work]", "f.toml, line 10, copies.copies: 1 to 8"),
+            (
+                "[work]",
+                "[copies]\nneeded = 3\n[work]",
+                "f.toml, line 10, copies.needed: more than the copies, 2",
+            ),
+            ("[work]", "[copies]\nneeded = 0\n[work]", "f.toml, line 10, copies.needed: 0 waits for nobody"),
+            (
+                "[work]",
+                "[copies]\nanswer = \"soon\"\n[work]",
+                "f.toml, line 10, copies.answer: \"after-copies\" or",
+            ),
+            (
+                "[work]",
+                "[copies]\nwhen_short = \"\"\n[work]",
+                "f.toml, line 10, copies.when_short: \"refuse\" or",
+            ),
+            (
+                "[work]",
+                "[copies]\ndirectory = \"d\"\n[work]",
+                "f.toml, line 10, copies.directory: copies on disk",
+            ),
         ] {
             assert!(GOOD.contains(from), "{from}");
             let text = GOOD.replacen(from, to, 1);
--- a/agent/src/fleet/control.rs
+++ b/agent/src/fleet/control.rs
@@ -37,6 +37,7 @@
     Explain { machine: String },
     Refound,
     Pause { reason: Option<String> },
+    Copies,
 }
 
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -65,6 +66,18 @@
     pub due_s: Option<i64>,
 }
 
+/// A stream of copies that is written or held by the member that was asked.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct CopyRow {
+    pub stream: String,
+    pub writer: String,
+    pub epoch: u64,
+    pub records: u64,
+    pub holders: Vec<String>,
+    /// Records that fewer hold than should, as its writer knows.
+    pub under_copied: u64,
+}
+
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case", tag = "told")]
 pub enum Response {
@@ -73,6 +86,7 @@
     Text { text: String },
     Members { members: Vec<MemberRow> },
     Work { work: Vec<WorkRow> },
+    Copies { copies: Vec<CopyRow> },
 }
 
 #[derive(Debug, thiserror::Error)]
--- a/agent/src/fleet/mod.rs
+++ b/agent/src/fleet/mod.rs
@@ -5,6 +5,7 @@
 pub mod command;
 pub mod config;
 mod control;
+mod copies;
 mod frames;
 mod links;
 mod owner;
@@ -14,8 +15,10 @@
 use std::collections::BTreeMap;
 use std::io;
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Instant;
 
+use steprelay_copies::member::{Figures as CopyFigures, News};
 use steprelay_core::duty::State;
 use steprelay_decisions::{Micros, Readiness, ServerId};
 use steprelay_fleet::council::CouncilError;
@@ -23,12 +26,15 @@
 use steprelay_fleet::swim::Member;
 use steprelay_fleet::words::Status;
 use tokio::net::TcpListener;
-use tokio::sync::{oneshot, watch};
+use tokio::sync::{mpsc, oneshot, watch};
 use tokio::task::spawn_local;
 use tokio::time::{interval, Duration, MissedTickBehavior};
 
+use crate::net::copies::CopiesEnd;
+use crate::ports::copies::Lease;
 use crate::ports::{Input, OnDuty, Shared, Snapshot};
 use config::FleetConfig;
+use copies::Copies;
 use owner::{Ends, FleetOwner};
 use store::{Store, StoreError};
 
@@ -40,6 +46,9 @@
 const MEAN_S: f64 = 5.0;
 /// Classes and their servers that are told of, at most.
 const MOST_TOLD: usize = 64;
+/// Notes of promises that may wait for the fleet's thread, and news that may wait for the program.
+const NOTES: usize = 16_384;
+const NEWS: usize = 1_024;
 /// The fleet's thread gets so long to say farewell.
 const FAREWELL: Duration = Duration::from_millis(500);
 
@@ -70,10 +79,11 @@
 
 impl Fleet {
     /// Begins to serve the fleet. Where this machine was out for work, clients are sent away from the start.
+    /// With `[copies]` comes the end by which the owner of the core has its promises copied.
     ///
     /// # Errors
     /// The directory can't be used, or the address can't be listened on.
-    pub fn start(config: FleetConfig, shared: Shared) -> Result<Self, FleetError> {
+    pub fn start(config: FleetConfig, shared: Shared) -> Result<(Self, Option<CopiesEnd>), FleetError> {
         let io = |what: String| move |error| FleetError::Io { what, error };
         let seed = shared.new_call().0;
         let listener =
@@ -106,14 +116,28 @@
         };
         let (status, statuses) = watch::channel(Status::default());
         let (wanted, mut wants) = watch::channel(Wanted::default());
-        let (figures, shown) = watch::channel(Figures::default());
+        let (figures, shown) = watch::channel((Figures::default(), None));
+        let started = Instant::now();
+        let lease = Arc::new(Lease::new(started));
+        let (notes, noted) = mpsc::channel(NOTES);
+        let (news, comes) = mpsc::channel(NEWS);
+        let copied = config.copies.map(|copied| {
+            let end = CopiesEnd {
+                notes,
+                lease: lease.clone(),
+                after_copies: copied.after_copies,
+                refuse_short: copied.refuse_short,
+            };
+            spawn_local(tell_news(shared.inputs.clone(), comes));
+            (end, Copies::new(copied, &me, lease, noted, news))
+        });
+        let (end, copies) = copied.unzip();
         let ((stop, stops), (done, ended)) = (oneshot::channel(), oneshot::channel());
         let (ready, is_ready) = std::sync::mpsc::channel();
-        let ends = Ends { status: statuses, wanted, figures, stop: stops };
+        let ends = Ends { status: statuses, wanted, figures, copies, stop: stops };
         let (seeds, from) = (config.seeds, SocketAddr::new(listens.ip(), 0));
         let thread = std::thread::Builder::new().name("fleet".into());
         let run = move || {
-            let started = Instant::now();
             let node = match Node::new(0, setup, me, page, &kept, seed) {
                 Ok(node) => node,
                 Err(error) => return drop(ready.send(Err(FleetError::Council(error)))),
@@ -157,7 +181,7 @@
                 .map_err(|full| io("queue".into())(io::Error::other(full.to_string())))?;
         }
         spawn_local(follow(shared, wants, done, status, shown, config.capacity_milli));
-        Ok(Fleet { stop: Some(stop), ended })
+        Ok((Fleet { stop: Some(stop), ended }, end))
     }
 
     /// Says farewell to the other members.
@@ -167,6 +191,15 @@
     }
 }
 
+/// Tells the owner of the core what comes of copies.
+async fn tell_news(inputs: mpsc::Sender<Input>, mut comes: mpsc::Receiver<News>) {
+    while let Some(news) = comes.recv().await {
+        if inputs.send(Input::Copies(news)).await.is_err() {
+            return;
+        }
+    }
+}
+
 /// A number that no other start or disk has.
 fn drawn() -> io::Result<u64> {
     let mut bytes = [0; 8];
@@ -184,7 +217,7 @@
     mut wants: watch::Receiver<Wanted>,
     mut done: Wanted,
     status: watch::Sender<Status>,
-    shown: watch::Receiver<Figures>,
+    shown: watch::Receiver<(Figures, Option<CopyFigures>)>,
     capacity_milli: u64,
 ) {
     let mut look = interval(LOOK);
@@ -198,7 +231,9 @@
             changed = wants.changed() => if changed.is_err() { return },
             _ = look.tick() => {}
         }
-        shared.fleet.replace(Some(shown.borrow().clone()));
+        let (figures, copies) = shown.borrow().clone();
+        shared.fleet.replace(Some(figures));
+        shared.copies.set(copies);
         let wanted = wants.borrow_and_update().clone();
         if wanted.held != done.held {
             done.held.clone_from(&wanted.held);
--- a/agent/src/fleet/owner.rs
+++ b/agent/src/fleet/owner.rs
@@ -7,6 +7,7 @@
 use std::rc::Rc;
 use std::time::Instant;
 
+use steprelay_copies::member::Figures as CopyFigures;
 use steprelay_fleet::agreed::{Command, CommandId, Refusal};
 use steprelay_fleet::node::{Effect, Figures, Node};
 use steprelay_fleet::swim::Health;
@@ -20,10 +21,12 @@
 
 use super::config::server_number;
 use super::control::{self, Asked, MemberRow, Request, Response, WorkRow};
+use super::copies::Copies;
 use super::frames;
 use super::links::{self, Came, Links};
 use super::store::{Change, Store, StoreError};
 use super::Wanted;
+use crate::ports::copies::Note;
 
 /// Time is looked at so often.
 const TICK: Duration = Duration::from_millis(50);
@@ -40,7 +43,8 @@
 pub struct Ends {
     pub status: watch::Receiver<Status>,
     pub wanted: watch::Sender<Wanted>,
-    pub figures: watch::Sender<Figures>,
+    pub figures: watch::Sender<(Figures, Option<CopyFigures>)>,
+    pub copies: Option<Copies>,
     /// Ends with its sender: the program stops.
     pub stop: oneshot::Receiver<()>,
 }
@@ -125,8 +129,19 @@
                     }
                 }
                 Some((request, answer)) = asks.recv() => self.command(request, answer),
+                Some(note) = next_note(&mut self.ends.copies) => {
+                    let now = self.now();
+                    if let Some(copies) = &mut self.ends.copies {
+                        copies.note(now, note);
+                    }
+                }
             }
             self.carry_out()?;
+            let now = self.now();
+            if let Some(copies) = &mut self.ends.copies {
+                copies.turn(now, &mut self.node);
+                self.carry_out()?;
+            }
         }
         let now = self.now();
         self.node.leave(now);
@@ -140,6 +155,9 @@
         self.node.wake(now);
         let status = self.ends.status.borrow().clone();
         self.node.status(status);
+        if let Some(copies) = &mut self.ends.copies {
+            copies.tick(now, &mut self.node);
+        }
         self.node.tick(now);
         self.links.borrow_mut().reap();
         if now >= self.greeted + GREET {
@@ -156,6 +174,7 @@
         }
         let links = self.links.borrow();
         let figures = Figures { unsent: links.lost, octets: links.octets, ..self.node.figures() };
+        let figures = (figures, self.ends.copies.as_ref().map(Copies::figures));
         drop(links);
         self.ends.figures.send_if_modified(|known| {
             let changed = *known != figures;
@@ -228,7 +247,13 @@
                 }
             }
             Effect::Log(line) => eprintln!("steprelay: {line}"),
-            Effect::Write(_) | Effect::Keep(_) | Effect::Renew { .. } | Effect::Copies { .. } => {}
+            Effect::Copies { from, bytes } => {
+                let now = self.now();
+                if let Some(copies) = &mut self.ends.copies {
+                    copies.received(now, &from, &bytes);
+                }
+            }
+            Effect::Write(_) | Effect::Keep(_) | Effect::Renew { .. } => {}
         }
     }
 
@@ -247,6 +272,12 @@
                 let _ = answer.send(response);
                 return;
             }
+            Request::Copies => {
+                let off = || Response::Refused { why: "copies are off: the file has no [copies]".into() };
+                let rows = self.ends.copies.as_ref().map(Copies::rows);
+                let _ = answer.send(rows.map_or_else(off, |copies| Response::Copies { copies }));
+                return;
+            }
             Request::Refound => {
                 let done = self.node.refound(now);
                 let _ = answer.send(done.map_or_else(refused, |()| Response::Done));
@@ -315,6 +346,14 @@
     }
 }
 
+/// The program's next note; none ever comes where nothing is copied.
+async fn next_note(copies: &mut Option<Copies>) -> Option<Note> {
+    match copies {
+        Some(copies) => copies.next().await,
+        None => std::future::pending().await,
+    }
+}
+
 fn refused(refusal: Refusal) -> Response {
     Response::Refused { why: refusal.to_string() }
 }
--- a/agent/src/front/platform/servers.rs
+++ b/agent/src/front/platform/servers.rs
@@ -100,6 +100,7 @@
     own: &Outbox<ToServer>,
 ) -> io::Result<()> {
     while let Some(line) = incoming.next().await? {
+        let own = (!shared.heard_later).then_some(own);
         let input = Message::read(line).and_then(|message| heard(&message, link, own));
         let input = input.map_err(|_| io::ErrorKind::InvalidData)?;
         if shared.inputs.send(input).await.is_err() {
@@ -111,7 +112,7 @@
 
 /// What a server says. Where it can't be one of its messages, whatever follows on the connection can't be
 /// trusted either, and what was to come may never come.
-fn heard(message: &Message, link: LinkId, own: &Outbox<ToServer>) -> Result<Input, Unreadable> {
+fn heard(message: &Message, link: LinkId, own: Option<&Outbox<ToServer>>) -> Result<Input, Unreadable> {
     let report = message.report();
     if message.op == "group" {
         return Ok(Input::Reported { link, report });
@@ -125,7 +126,7 @@
         }
         "end" if message.why.is_some() => {
             // Says that it was heard, so that it need not come again on the next connection.
-            own.post(ToServer::Heard(call));
+            own.map(|own| own.post(ToServer::Heard(call)));
             Input::Ended { link, call, cause: message.cause(), note: message.noted(), report }
         }
         "tested" => Input::Tested { link, call, passed: message.why == Some(1), report },
--- /dev/null
+++ b/agent/src/net/copies.rs
@@ -0,0 +1,235 @@
+//! The owner's side of copies: tells promises as the core does, and keeps back what may be said only once
+//! others hold them.
+//!
+//! What waits is kept by call; a word that makes it moot takes it out. While it is not known whether another
+//! has taken over ([`Copies::in_doubt`]), answers to calls of before wait too.
+
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::sync::Arc;
+
+use steprelay_core::{Effect, Promise};
+use steprelay_decisions::{CallId, Micros};
+use tokio::sync::mpsc;
+
+use crate::ports::copies::{Lease, Note};
+use crate::ports::LinkId;
+
+/// A set-up waits so long at most for others to know of it.
+const SET_UP_WITHIN: Micros = 100_000;
+/// Releases that servers wait to be told of, at most.
+const MOST_HEARD: usize = 50_000;
+
+/// How copies are kept, and the ends of whoever keeps them.
+pub struct CopiesEnd {
+    pub notes: mpsc::Sender<Note>,
+    pub lease: Arc<Lease>,
+    pub after_copies: bool,
+    pub refuse_short: bool,
+}
+
+/// What waits for others.
+#[derive(Debug)]
+struct Waiting {
+    effect: Effect,
+    /// It waits no longer than this.
+    by: Micros,
+}
+
+pub struct Copies {
+    end: CopiesEnd,
+    noted: u64,
+    covered: u64,
+    renounced: u64,
+    /// A note found no room: all that is promised goes in one when there is some.
+    behind: bool,
+    /// When the caller of the call noted last must have heard of it.
+    by: Option<Micros>,
+    answers: BTreeMap<CallId, Waiting>,
+    set_ups: BTreeMap<CallId, Waiting>,
+    /// By the number of the note that has to be covered.
+    order: VecDeque<(u64, CallId)>,
+    /// Releases that came, until the notes of them are numbered; and then by that number.
+    came: Vec<(LinkId, CallId)>,
+    heard: VecDeque<(u64, LinkId, CallId)>,
+    /// Calls that were out when the doubt began.
+    doubt: Option<BTreeSet<CallId>>,
+    /// Went out though too few others knew.
+    pub uncopied: u64,
+}
+
+impl Copies {
+    pub fn new(end: CopiesEnd) -> Self {
+        Copies {
+            end,
+            noted: 0,
+            covered: 0,
+            renounced: 0,
+            behind: false,
+            by: None,
+            answers: BTreeMap::new(),
+            set_ups: BTreeMap::new(),
+            order: VecDeque::new(),
+            came: Vec::new(),
+            heard: VecDeque::new(),
+            doubt: None,
+            uncopied: 0,
+        }
+    }
+
+    pub fn refuses_short(&self) -> bool {
+        self.end.refuse_short
+    }
+
+    /// A promise has changed.
+    pub fn note(&mut self, call: CallId, promise: Option<Promise>, by: Option<Micros>) {
+        self.by = by;
+        if !matches!(promise, Some(Promise::Out(_))) {
+            self.set_ups.remove(&call);
+        }
+        self.say(Note::Promise(call, promise));
+    }
+
+    pub fn passed_on(&mut self, call: CallId) {
+        // Lost where there is no room: the others find out when they are told of the server.
+        let _ = self.end.notes.try_send(Note::PassedOn(call));
+    }
+
+    fn say(&mut self, note: Note) {
+        if !self.behind && self.end.notes.try_send(note).is_ok() {
+            self.noted += 1;
+        } else {
+            self.behind = true;
+        }
+    }
+
+    /// Whether all that is promised is to be told anew, with [`Copies::all`].
+    pub fn is_behind(&self) -> bool {
+        self.behind && self.end.notes.capacity() > self.end.notes.max_capacity() / 2
+    }
+
+    pub fn all(&mut self, promised: Vec<(CallId, Promise)>) {
+        self.behind = false;
+        self.say(Note::All(promised));
+    }
+
+    /// What is not to go out yet is kept; all else comes back.
+    pub fn hold(&mut self, now: Micros, effect: Effect) -> Option<Effect> {
+        let waits = self.end.after_copies && (self.behind || self.covered < self.noted);
+        match &effect {
+            Effect::Answer { call, .. } => {
+                let doubted = self.doubt.as_ref().is_some_and(|calls| calls.contains(call));
+                if !waits && !doubted {
+                    return Some(effect);
+                }
+                let (call, by) = (*call, self.by.unwrap_or(now));
+                self.answers.insert(call, Waiting { effect, by });
+                self.order.push_back((self.noted, call));
+                None
+            }
+            Effect::SetUp { set_up, .. } if waits && self.doubt.is_none() => {
+                let (call, by) = (set_up.call, now + SET_UP_WITHIN);
+                self.set_ups.insert(call, Waiting { effect, by });
+                self.order.push_back((self.noted, call));
+                None
+            }
+            // It has not left.
+            Effect::GiveUp { call, .. } if self.set_ups.remove(call).is_some() => None,
+            _ => Some(effect),
+        }
+    }
+
+    /// The answer to a call that waits, where something else is about to be said to its caller.
+    pub fn answer_first(&mut self, call: CallId) -> Option<Effect> {
+        Some(self.answers.remove(&call)?.effect)
+    }
+
+    /// Its caller has gone: it is to hear nothing any more.
+    pub fn drop_answer(&mut self, call: CallId) -> bool {
+        self.answers.remove(&call).is_some()
+    }
+
+    /// A server has released something, and is to hear that once others know.
+    pub fn release_came(&mut self, link: LinkId, call: CallId) {
+        self.came.push((link, call));
+    }
+
+    /// All that follows from what came has been noted.
+    pub fn number_releases(&mut self) {
+        let number = self.noted;
+        self.heard.extend(self.came.drain(..).map(|(link, call)| (number, link, call)));
+        if self.heard.len() > MOST_HEARD {
+            // Servers say them again.
+            self.heard.pop_front();
+        }
+    }
+
+    pub fn covered(&mut self, covered: u64) {
+        self.covered = self.covered.max(covered);
+    }
+
+    /// What may go out now: effects, and releases whose servers are to hear that they were heard.
+    pub fn due(&mut self, now: Micros) -> (Vec<Effect>, Vec<(LinkId, CallId)>) {
+        let mut effects = Vec::new();
+        while let Some((number, call)) = self.order.front().copied() {
+            if number > self.covered {
+                break;
+            }
+            self.order.pop_front();
+            effects.extend(self.set_ups.remove(&call).map(|waiting| waiting.effect));
+            let doubted = self.doubt.as_ref().is_some_and(|calls| calls.contains(&call));
+            if !doubted {
+                effects.extend(self.answers.remove(&call).map(|waiting| waiting.effect));
+            }
+        }
+        // Nobody waits past its time for others; those in doubt get another answer then.
+        let doubt = self.doubt.as_ref();
+        let late = |(call, waiting): (&CallId, &Waiting)| {
+            let doubted = doubt.is_some_and(|calls| calls.contains(call));
+            (now >= waiting.by && !doubted).then_some(*call)
+        };
+        let late: Vec<CallId> = self.answers.iter().chain(&self.set_ups).filter_map(late).collect();
+        for call in late {
+            let waiting = self.set_ups.remove(&call).or_else(|| self.answers.remove(&call));
+            effects.extend(waiting.map(|waiting| waiting.effect));
+            self.uncopied += 1;
+        }
+        let mut heard = Vec::new();
+        while let Some((_, link, call)) = self.heard.front().filter(|(number, ..)| *number <= self.covered) {
+            heard.push((*link, *call));
+            self.heard.pop_front();
+        }
+        (effects, heard)
+    }
+
+    /// Whether anything waits that time alone may let out.
+    pub fn waits(&self) -> bool {
+        !self.answers.is_empty() || !self.set_ups.is_empty() || self.doubt.is_some() || self.behind
+    }
+
+    /// Whether another may have taken over what was promised before.
+    pub fn in_doubt(&self) -> bool {
+        !self.end.lease.holds(self.renounced)
+    }
+
+    pub fn was_in_doubt(&self) -> bool {
+        self.doubt.is_some()
+    }
+
+    pub fn doubt_begins(&mut self, out: BTreeSet<CallId>) {
+        let answers = self.answers.keys().copied();
+        self.doubt = Some(out.into_iter().chain(answers).collect());
+    }
+
+    /// There is none any more: the answers that waited because of it.
+    pub fn doubt_ends(&mut self) -> Vec<Effect> {
+        let Some(calls) = self.doubt.take() else { return Vec::new() };
+        let waited = calls.iter().filter_map(|call| self.answers.remove(call));
+        waited.map(|waiting| waiting.effect).collect()
+    }
+
+    /// These were given up to another; the answers that were never given.
+    pub fn renounced(&mut self, calls: &BTreeSet<CallId>) -> Vec<Effect> {
+        self.renounced += 1;
+        calls.iter().filter_map(|call| self.answers.remove(call)).map(|waiting| waiting.effect).collect()
+    }
+}
--- a/agent/src/net/owner.rs
+++ b/agent/src/net/owner.rs
@@ -1,16 +1,19 @@
 //! The owner of the core: hands it what comes in and carries out what follows.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
 
+use steprelay_copies::member::News;
 use steprelay_core::duty::State;
-use steprelay_core::{Breach, ClientId, Core, Effect, LinkLoss, Source};
+use steprelay_core::{Breach, ClientId, Core, Effect, LinkLoss, Promise, Source, Verdict};
 use steprelay_decisions::{CallId, Entry, ListKind, Micros, Readiness, ServerId};
 use tokio::sync::mpsc;
 use tokio::time::{sleep, sleep_until, Duration};
 
+use super::copies::{Copies, CopiesEnd};
 use super::links::{Links, Watch};
 use crate::ports::conn::Outbox;
+use crate::ports::copies;
 use crate::ports::{Input, LinkId, OnDuty, Shared, Snapshot, ToClient, ToServer, Way};
 use crate::trace;
 
@@ -39,6 +42,8 @@
     dial: Dial,
     clients: BTreeMap<ClientId, Outbox<ToClient>>,
     links: Links,
+    /// Where what is promised is copied to others.
+    copies: Option<Copies>,
     /// Probes that are out, with their servers and when they left.
     probes: BTreeMap<CallId, (ServerId, Micros)>,
     started: Micros,
@@ -58,6 +63,7 @@
             dial,
             clients: BTreeMap::new(),
             links: Links::default(),
+            copies: None,
             probes: BTreeMap::new(),
             started,
             stopping: None,
@@ -67,6 +73,12 @@
         }
     }
 
+    /// Has what is promised copied to others from now on.
+    pub fn copy(&mut self, end: CopiesEnd) {
+        self.core.tell_promises();
+        self.copies = Some(Copies::new(end));
+    }
+
     /// Tells clients whose signalling has a word for it how pressed the servers are: 0 for none, 1 for some,
     /// 2 for half of them and 3 for all.
     fn tell_pressure(&mut self) {
@@ -101,13 +113,15 @@
         loop {
             self.keep_links();
             self.tell_pressure();
+            self.look_at_copies();
             self.carry_out();
             let now = self.shared.clock.now();
             if self.is_done(now) {
                 break;
             }
             let starting = self.core.duty().state() == State::Starting;
-            let look = (self.stopping.is_some() || starting).then_some(now + LOOK);
+            let waits = self.copies.as_ref().is_some_and(Copies::waits);
+            let look = (self.stopping.is_some() || starting || waits).then_some(now + LOOK);
             let wake = [self.core.next_wake(), self.links.next_due(), look].into_iter().flatten().min();
             let wake = self.shared.clock.instant(wake.unwrap_or(now + 1_000_000));
             tokio::select! {
@@ -159,6 +173,7 @@
     pub fn take(&mut self, input: Input) {
         let now = self.shared.clock.now();
         trace::came(&input);
+        self.look_at_doubt(now);
         match input {
             Input::ClientOpened { client, peer, outbox } => {
                 if let Some(before) = self.clients.insert(client, outbox) {
@@ -172,7 +187,12 @@
             }
             Input::Offer { client, request } => self.core.offer(now, client, request),
             Input::Unfit { client, call, class } => self.core.offer_unfit(client, call, class),
-            Input::ClientEnded { client, call, cause } => self.core.client_ended(now, client, call, cause),
+            Input::ClientEnded { client, call, cause } => {
+                if let Some(copies) = &mut self.copies {
+                    copies.drop_answer(call);
+                }
+                self.core.client_ended(now, client, call, cause)
+            }
             Input::ClientTested { client, call } => {
                 self.core.client_tested(now, client);
                 let passes = self.core.duty().passes();
@@ -205,6 +225,9 @@
             }
             Input::Ended { link, call, cause, note, report } if self.links.is_current(link) => {
                 self.links.heard(link, Some(call), false, now);
+                if let Some(copies) = &mut self.copies {
+                    copies.release_came(link, call);
+                }
                 self.core.server_ended(now, link.server, call, cause, note, report)
             }
             Input::Reported { link, report } if self.links.is_current(link) => {
@@ -249,9 +272,12 @@
                     duty: self.core.duty().state(),
                     held,
                     fleet: self.shared.fleet.borrow().clone(),
+                    copies: self.shared.copies.get(),
+                    uncopied: self.copies.as_ref().map_or(0, |copies| copies.uncopied),
                     servers,
                 });
             }
+            Input::Copies(news) => self.heard_of_copies(now, news),
             Input::Duty(wanted, asked) => {
                 let before = self.core.duty().state();
                 let done = self.core.on_duty(now, |duty| match wanted {
@@ -366,17 +392,110 @@
         loop {
             let effects = self.core.take_effects();
             if effects.is_empty() {
-                return;
+                break;
             }
             for effect in effects {
                 self.do_one(effect);
             }
         }
+        if let Some(copies) = &mut self.copies {
+            copies.number_releases();
+        }
+    }
+
+    // ---- Copies.
+
+    /// Finds out before the next word whether another may have taken over.
+    fn look_at_doubt(&mut self, now: Micros) {
+        let Some(copies) = &mut self.copies else { return };
+        match (copies.in_doubt(), copies.was_in_doubt()) {
+            (true, false) => {
+                let out = self.core.promised().filter(|(_, promise)| matches!(promise, Promise::Out(_)));
+                copies.doubt_begins(out.map(|(call, _)| call).collect());
+                self.core.doubt(now, true);
+            }
+            (false, true) => {
+                let waited = copies.doubt_ends();
+                self.core.doubt(now, false);
+                waited.into_iter().for_each(|effect| self.say(now, effect));
+            }
+            _ => {}
+        }
+    }
+
+    /// Lets out what others hold by now, and what can wait no longer.
+    fn look_at_copies(&mut self) {
+        let now = self.shared.clock.now();
+        self.look_at_doubt(now);
+        let Some(copies) = &mut self.copies else { return };
+        if copies.is_behind() {
+            copies.all(self.core.promised().collect());
+        }
+        let (effects, heard) = copies.due(now);
+        effects.into_iter().for_each(|effect| self.say(now, effect));
+        for (link, call) in heard {
+            if self.links.is_current(link) {
+                self.links.post(link.server, ToServer::Heard(call), now);
+            }
+        }
+    }
+
+    fn heard_of_copies(&mut self, now: Micros, news: News) {
+        match news {
+            News::Covered(covered) => {
+                if let Some(copies) = &mut self.copies {
+                    copies.covered(covered);
+                }
+            }
+            News::Adopt(records) => {
+                for (call, record) in records {
+                    self.core.adopt(now, copies::call(call), copies::promise(record));
+                }
+            }
+            News::Handed(changes) => {
+                for (call, record) in changes {
+                    self.core.handed(now, copies::call(call), record.map(copies::promise));
+                }
+            }
+            News::Renounce(calls) => {
+                let calls: BTreeSet<CallId> = calls.into_iter().map(copies::call).collect();
+                self.core.renounce(now, &calls);
+                let untold = self.copies.as_mut().map(|copies| copies.renounced(&calls)).unwrap_or_default();
+                for effect in untold {
+                    // It stands nowhere any more: whoever took it over has ended it.
+                    if let Effect::Answer { client, call, .. } = effect {
+                        self.say(now, Effect::Final { client, call, verdict: Verdict::Failed });
+                    }
+                }
+            }
+            News::Over(calls) => {
+                calls.into_iter().for_each(|call| self.core.over_elsewhere(now, copies::call(call)));
+            }
+            News::Short(short) => {
+                let refuse = self.copies.as_ref().is_some_and(Copies::refuses_short);
+                self.core.refuse_uncopied(short && refuse);
+            }
+        }
     }
 
     fn do_one(&mut self, effect: Effect) {
         let now = self.shared.clock.now();
         trace::goes(&self.core, now, &effect);
+        if self.copies.is_some() {
+            self.look_at_doubt(now);
+            if let Effect::Released { call, .. } = &effect {
+                let first = self.copies.as_mut().and_then(|copies| copies.answer_first(*call));
+                first.into_iter().for_each(|effect| self.say(now, effect));
+            }
+            if let Some(effect) = self.copies.as_mut().and_then(|copies| copies.hold(now, effect)) {
+                self.say(now, effect);
+            }
+            return;
+        }
+        self.say(now, effect);
+    }
+
+    fn say(&mut self, now: Micros, effect: Effect) {
         match effect {
             Effect::SetUp { server, set_up } => {
                 let call = set_up.call;
@@ -413,7 +532,16 @@
                 }
             }
             Effect::Log(text) => eprintln!("steprelay: {text}"),
-            Effect::Promised { .. } | Effect::PassedOn { .. } => {}
+            Effect::Promised { call, promise, by } => {
+                if let Some(copies) = &mut self.copies {
+                    copies.note(call, promise, by);
+                }
+            }
+            Effect::PassedOn { call } => {
+                if let Some(copies) = &mut self.copies {
+                    copies.passed_on(call);
+                }
+            }
         }
     }
 
@@ -454,6 +582,8 @@
             unwritten: Rc::default(),
             tallies: Rc::default(),
             fleet: Rc::default(),
+            copies: Rc::default(),
+            heard_later: false,
         };
         let now = shared.clock.now();
         let core = Core::new(site, Bounds { connections: 8, connections_of_one: 8, bytes: 1 << 20 }, 7, now);
--- a/agent/src/ops/line.rs
+++ b/agent/src/ops/line.rs
@@ -2,6 +2,7 @@
 
 use steprelay_core::duty::State;
 
+use steprelay_copies::member::Figures as CopyFigures;
 use steprelay_fleet::node::Figures as FleetFigures;
 
 use crate::ports::Snapshot;
@@ -91,10 +92,31 @@
             put(&format!("fleet.{name}"), value);
         }
     }
+    if let Some(copies) = &figures.copies {
+        for (name, value) in copy_figures(copies) {
+            put(&format!("copies.{name}"), value);
+        }
+        put("copies.uncopied", figures.uncopied);
+    }
     text.push_str(".\n");
     text
 }
 
+/// The figures of copies by their names.
+pub fn copy_figures(copies: &CopyFigures) -> [(&'static str, u64); 9] {
+    [
+        ("own", copies.own),
+        ("adopted", copies.adopted),
+        ("under_copied", copies.under_copied),
+        ("holders", copies.holders),
+        ("held_streams", copies.held_streams),
+        ("held", copies.held),
+        ("takeovers", copies.takeovers),
+        ("renounced", copies.renounced),
+        ("missed", copies.missed),
+    ]
+}
+
 /// The fleet's figures by their names, in the order of the MIB.
 pub fn fleet_figures(fleet: &FleetFigures) -> [(&'static str, u64); 17] {
     [
--- /dev/null
+++ b/agent/src/ports/copies.rs
@@ -0,0 +1,69 @@
+//! What the owner of the core and whoever keeps copies of its promises say to each other, and the lease that
+//! both look at.
+
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Instant;
+
+use steprelay_copies::{Call, Record};
+use steprelay_core::{Promise, ReleaseCause};
+use steprelay_decisions::{CallId, ServerId};
+
+/// Of the owner of the core.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Note {
+    /// A promise has changed; `None`: nothing is promised of the call any more.
+    Promise(CallId, Option<Promise>),
+    /// Some were lost on the way: all that is promised now.
+    All(Vec<(CallId, Promise)>),
+    /// A release of a call that was not known here was given.
+    PassedOn(CallId),
+}
+
+pub fn record(promise: Promise) -> Record {
+    match promise {
+        Promise::Out(server) => Record::Out { server: server.0 },
+        Promise::Stands(server) => Record::Stands { server: server.0 },
+        Promise::Owed(server, cause) => Record::Owed { server: server.0, cause: cause.0 },
+    }
+}
+
+pub fn promise(record: Record) -> Promise {
+    match record {
+        Record::Out { server } => Promise::Out(ServerId(server)),
+        Record::Stands { server } => Promise::Stands(ServerId(server)),
+        Record::Owed { server, cause } => Promise::Owed(ServerId(server), ReleaseCause(cause)),
+    }
+}
+
+pub fn call(call: Call) -> CallId {
+    CallId(call)
+}
+
+/// Until when what is promised here is nobody else's, in milliseconds since `started`: written by the fleet's
+/// thread, looked at before each word that depends on it.
+#[derive(Debug)]
+pub struct Lease {
+    started: Instant,
+    until: AtomicU64,
+    renounced: AtomicU64,
+}
+
+impl Lease {
+    pub fn new(started: Instant) -> Self {
+        Lease { started, until: AtomicU64::new(0), renounced: AtomicU64::new(0) }
+    }
+
+    /// `renounced`: how often something was given up before this lease began.
+    pub fn set(&self, until: u64, renounced: u64) {
+        self.renounced.store(renounced, Ordering::Release);
+        self.until.store(until, Ordering::Release);
+    }
+
+    /// Whether it holds for one who has heard so often that something was given up. One that never began
+    /// holds: nobody else knows of anything yet.
+    pub fn holds(&self, renounced: u64) -> bool {
+        let until = self.until.load(Ordering::Acquire);
+        let heard = self.renounced.load(Ordering::Acquire) == renounced;
+        until == 0 || heard && (self.started.elapsed().as_millis() as u64) < until
+    }
+}
--- a/agent/src/ports/mod.rs
+++ b/agent/src/ports/mod.rs
@@ -3,6 +3,7 @@
 
 pub mod clock;
 pub mod conn;
+pub mod copies;
 pub mod pool;
 pub mod seldom;
 
@@ -10,6 +11,7 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 
+use steprelay_copies::member::{Figures as CopyFigures, News};
 use steprelay_core::duty::{self, IsStopping};
 use steprelay_core::{
     ClientId, Counts, LinkLoss, Peer, ReleaseCause, Request, ServerCounts, SetUp, Source, Verdict,
@@ -184,6 +186,8 @@
     Hold(Vec<ServerId>),
     /// The figures are asked for.
     Snapshot(oneshot::Sender<Snapshot>),
+    /// Of whoever keeps copies of what is promised here.
+    Copies(News),
     /// Operators ask whether work is taken, or change it.
     Duty(OnDuty, oneshot::Sender<Result<duty::State, IsStopping>>),
     /// `replaced`: another process takes the new connections.
@@ -226,6 +230,10 @@
     pub tallies: Rc<Cell<Tallies>>,
     /// What is known of the fleet, where this call agent is a member of one.
     pub fleet: Rc<RefCell<Option<FleetFigures>>>,
+    /// And of copies, where it keeps any.
+    pub copies: Rc<Cell<Option<CopyFigures>>>,
+    /// Servers hear that a release was heard from the owner of the core, once others hold it.
+    pub heard_later: bool,
 }
 
 /// Counts as unwritten for as long as it is kept.
@@ -273,6 +281,9 @@
     pub held: Vec<(ServerId, bool)>,
     /// What is known of the fleet.
     pub fleet: Option<FleetFigures>,
+    pub copies: Option<CopyFigures>,
+    /// What went out though too few others knew of it.
+    pub uncopied: u64,
     /// Each server with the bound of its image, if it has one.
     pub servers: Vec<(Entry, ServerCounts, Option<f64>)>,
 }
--- a/agent/src/serve.rs
+++ b/agent/src/serve.rs
@@ -69,6 +69,8 @@
         unwritten: Rc::default(),
         tallies: Rc::default(),
         fleet: Rc::default(),
+        copies: Rc::default(),
+        heard_later: fleet.as_ref().is_some_and(|fleet| fleet.copies.is_some()),
     };
     let m3ua = m3ua.map(|named| m3ua::start(named, shared.clone(), &config.name)).transpose()?;
     let mut terminate = signal(SignalKind::terminate())?;
@@ -109,6 +111,10 @@
     spawn_local(board::follow(followed, config.known.last, shared.clone()));
     spawn_local(reread(hangup, file, board, shared.clone()));
     let fleet = fleet.map(|named| Fleet::start(named, shared.clone())).transpose()?;
+    let fleet = fleet.map(|(fleet, copies)| {
+        copies.into_iter().for_each(|end| owner.copy(end));
+        fleet
+    });
     if let Some(address) = config.ops {
         let listener = TcpListener::bind(address).await?;
         eprintln!("steprelay: answering operators on {}", listener.local_addr()?);
--- a/agent/tests/fleet.rs
+++ b/agent/tests/fleet.rs
@@ -1,62 +1,16 @@
 //! Several processes of the program, with faults between them. The rig's checker judges what callers,
 //! servers and machines did; it shares no code with the program.
 
-use std::path::PathBuf;
-use std::time::{Duration, Instant};
+mod rigs;
 
-use steprelay_faults::mesh::{partition, Phase, Plan, Rule};
-use steprelay_rig::checker::Findings;
+use std::time::Instant;
+
+use rigs::*;
+use steprelay_faults::mesh::{partition, Rule};
 use steprelay_rig::history::{Event, What};
 use steprelay_rig::rig::{Rig, Setting};
 use steprelay_rig::trouble::{self, Trouble};
 
-fn seconds(seconds: u64) -> Duration {
-    Duration::from_secs(seconds)
-}
-
-fn setting(name: &str, size: usize, zones: usize) -> Setting {
-    Setting {
-        program: PathBuf::from(env!("CARGO_BIN_EXE_steprelay")),
-        directory: PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(format!("fleet-{name}")),
-        size,
-        zones,
-        most_out: 1,
-        calm_s: 0.5,
-        rate: 10.0,
-        fleet: true,
-        old: Vec::new(),
-        plan: Plan { seed: 7, phases: vec![phase("well", Vec::new())] },
-    }
-}
-
-fn phase(name: &str, rules: Vec<Rule>) -> Phase {
-    Phase { name: name.into(), rules }
-}
-
-fn names(places: impl IntoIterator<Item = usize>) -> Vec<String> {
-    places.into_iter().map(|place| format!("n{}", place + 1)).collect()
-}
-
-fn start(setting: Setting) -> Rig {
-    let mut rig = Rig::start(setting);
-    rig.settle();
-    rig.call();
-    rig
-}
-
-fn add(rig: &Rig, by: usize, machine: &str) {
-    let (code, said) = rig.staff(by, &["work", "add", machine, "--for", "10m", "--reason", "a test"]);
-    assert_eq!(code, 0, "{said}\n{}", rig.told());
-}
-
-/// All rules held, and there were calls.
-fn good(rig: &mut Rig) -> Findings {
-    let findings = rig.finish();
-    assert!(findings.broken.is_empty(), "{:#?}\n{}", findings.broken, rig.told());
-    assert!(findings.stood > 50, "{findings:?}");
-    findings
-}
-
 #[test]
 fn nine_processes_in_three_zones_get_their_turn_and_no_call_is_lost() {
     let mut rig = start(setting("nine", 9, 3));
--- a/copies/src/lib.rs
+++ b/copies/src/lib.rs
@@ -53,7 +53,7 @@
     /// Its caller was told that it stands, and waits for its release.
     Stands { server: u32 },
     /// The server has released it, and its caller has not confirmed that.
-    Owed { server: u32, cause: u16 },
+    Owed { server: u32, cause: u8 },
 }
 
 /// `None`: nothing is promised of the call any more.
--- a/copies/src/member.rs
+++ b/copies/src/member.rs
@@ -88,9 +88,9 @@
     /// What it holds of others.
     pub held_streams: u64,
     pub held: u64,
-    /// Successions it has begun, and those of its own streams.
+    /// Successions it has begun, and times that it gave something up to another.
     pub takeovers: u64,
-    pub succeeded: u64,
+    pub renounced: u64,
     /// Notes that counted as covered without being so.
     pub missed: u64,
 }
@@ -345,6 +345,16 @@
         }
     }
 
+    /// Says what is new, between ticks.
+    pub fn poll(&mut self, now: Millis) {
+        if self.paused.is_none() {
+            for writer in [&mut self.own].into_iter().chain(self.adopted.values_mut()) {
+                self.words.extend(writer.poll(now));
+            }
+        }
+        self.look_at_covered();
+    }
+
     /// Time has passed, and the fleet is so.
     pub fn tick(&mut self, now: Millis, known: &Known) {
         for stream in &known.settled {
@@ -373,15 +383,12 @@
                 self.placed = Some(now);
                 self.place(now, known);
             }
-            for writer in [&mut self.own].into_iter().chain(self.adopted.values_mut()) {
-                self.words.extend(writer.poll(now));
-            }
         }
         let short = self.paused.is_some() && self.limits.needed > 0 || !self.own.has_room(now);
         if std::mem::replace(&mut self.short, short) != short {
             self.news.push_back(News::Short(short));
         }
-        self.look_at_covered();
+        self.poll(now);
     }
 
     /// What others write by now is written here no more; what is this member's to write is taken over.
@@ -399,7 +406,7 @@
                     self.hand_over(now, &writer, name, *epoch);
                     let calls: BTreeSet<Call> = writer.records().keys().copied().collect();
                     self.routed.retain(|call, _| !calls.contains(call));
-                    self.news.push_back(News::Renounce(calls));
+                    self.renounce(calls);
                 }
             }
             let under_way = self.takeovers.get(stream).map(Takeover::epoch);
@@ -413,7 +420,6 @@
 
     /// This member's own stream has a successor: it was taken for lost.
     fn succeeded(&mut self, now: Millis, by: &str, epoch: u64) {
-        self.figures.succeeded += 1;
         let all = || self.own.records().keys().copied().collect();
         let exposed: BTreeSet<Call> = self.paused.clone().unwrap_or_else(all);
         let next = StreamId(self.own.stream().0.rotate_left(23) ^ self.boot ^ epoch);
@@ -426,7 +432,12 @@
         self.waiting.retain(|(_, stream, _)| *stream != old.stream());
         self.waiting.push_back((self.noted, next, self.own.number()));
         self.placed = None;
-        self.news.push_back(News::Renounce(exposed));
+        self.renounce(exposed);
+    }
+
+    fn renounce(&mut self, calls: BTreeSet<Call>) {
+        self.figures.renounced += 1;
+        self.news.push_back(News::Renounce(calls));
     }
 
     fn hand_over(&mut self, now: Millis, old: &Writer, to: &str, epoch: u64) {
--- a/rig/src/checker.rs
+++ b/rig/src/checker.rs
@@ -16,6 +16,9 @@
     pub release_ms: u64,
     /// A machine that was killed or stalled is known as lost to the others after this.
     pub noticed_ms: u64,
+    /// What is promised is copied: a call that stood when its machine was killed has its release within that
+    /// of its end, or of the kill, and one that nobody was told of is ended at its server.
+    pub copied: bool,
 }
 
 /// What was found.
@@ -44,6 +47,8 @@
     ended: Option<u64>,
     closed: Option<u64>,
     released: Option<u64>,
+    asked: bool,
+    cut: bool,
     answers: u32,
     ends: u32,
 }
@@ -87,6 +92,8 @@
                 call.ends += 1;
             }
             What::Closed { call } => calls.entry(*call).or_default().closed = Some(*at),
+            What::Asked { call, .. } => calls.entry(*call).or_default().asked = true,
+            What::Cut { call } => calls.entry(*call).or_default().cut = true,
             What::Released { call } => calls.entry(*call).or_default().released = Some(*at),
             What::Killed { machine } => killed.entry(machine).or_default().push(*at),
             What::Stalled { machine } => stalled.entry(machine).or_default().push((*at, end)),
@@ -101,6 +108,9 @@
         let over = call.ended.unwrap_or(end);
         let during = |at: &u64| call.offered <= at + 100 && over + 100 >= *at;
         let taken = killed.get(call.machine.as_str()).is_some_and(|times| times.iter().any(during));
+        let of_kill = |call: &Call| {
+            killed.get(call.machine.as_str()).and_then(|times| times.iter().copied().find(|at| during(at)))
+        };
         let stalls = stalled.get(call.machine.as_str()).map_or(&[][..], Vec::as_slice);
         findings.taken += usize::from(taken);
         findings.stood += usize::from(call.answered.is_some());
@@ -115,6 +125,18 @@
         if call.ends > 1 {
             broken("ended twice");
         }
+        if let (true, true, Some(from)) = (taken, rules.copied, of_kill(call)) {
+            let over = call.released.unwrap_or(from).max(from) + rules.release_ms;
+            let told = call.answered.is_some();
+            match call.ended {
+                None if told && end > over => broken("its machine was lost, and nobody gave its release"),
+                Some(at) if told && at > over => broken("its machine was lost, and its release came late"),
+                None if call.asked && !told && !call.cut && call.released.is_none() && end > over => {
+                    broken("its machine was lost, and it stands at its server");
+                }
+                _ => {}
+            }
+        }
         if taken {
             continue;
         }
@@ -219,13 +241,17 @@
     fn rules() -> Rules {
         let zones = [("n1", "z1"), ("n2", "z2"), ("n3", "z2")];
         let zones = zones.into_iter().map(|(name, zone)| (name.to_string(), zone.to_string())).collect();
-        Rules { zones, most_out: 1, answer_ms: 100, release_ms: 100, noticed_ms: 50 }
+        Rules { zones, most_out: 1, answer_ms: 100, release_ms: 100, noticed_ms: 50, copied: false }
     }
 
     fn judged(events: &[(u64, What)]) -> Vec<String> {
+        judged_by(&rules(), events)
+    }
+
+    fn judged_by(rules: &Rules, events: &[(u64, What)]) -> Vec<String> {
         let events: Vec<Event> =
             events.iter().map(|(at, what)| Event { at: *at, what: what.clone() }).collect();
-        judge(&events, &rules()).broken
+        judge(&events, rules).broken
     }
 
     fn seen(machine: &str, state: &str) -> What {
@@ -273,6 +299,32 @@
         assert!(judged(&lost)[0].contains("not towards its caller"), "a stall loses nothing");
     }
 
+    /// Where promises are copied a machine that was killed takes no promise along.
+    #[test]
+    fn it_finds_promises_that_were_lost_with_a_machine() {
+        let rules = Rules { copied: true, ..rules() };
+        let offered = (0, What::Offered { call: 1, machine: "n1".into() });
+        let asked = (5, What::Asked { call: 1, server: 1 });
+        let answered = (10, What::Answered { call: 1 });
+        let killed = (20, What::Killed { machine: "n1".into() });
+        let released = |at| (at, What::Released { call: 1 });
+        let ended = |at| (at, What::Ended { call: 1, why: 16 });
+        let later = (900, What::Phase { name: "end".into() });
+        let of = |events: &[(u64, What)]| judged_by(&rules, events);
+        let stood = [offered.clone(), asked.clone(), answered, killed.clone()];
+        let then = |more: &[(u64, What)]| of(&[&stood[..], more, &[later.clone()]].concat());
+        assert!(then(&[released(300), ended(390)]).is_empty());
+        assert!(then(&[released(300), ended(410)])[0].contains("came late"));
+        assert!(then(&[released(15), ended(115)]).is_empty(), "by the kill, where that was later");
+        assert!(then(&[released(300)])[0].contains("nobody gave its release"));
+        let untold = |more: &[(u64, What)]| {
+            of(&[&[offered.clone(), asked.clone(), killed.clone()][..], more, &[later.clone()]].concat())
+        };
+        assert!(untold(&[])[0].contains("stands at its server"));
+        assert!(untold(&[(50, What::Cut { call: 1 })]).is_empty());
+        assert!(untold(&[released(60)]).is_empty(), "its server has ended it");
+    }
+
     #[test]
     fn it_finds_machines_that_leave_together() {
         let all = ["n1", "n2", "n3"].map(|name| (0, seen(name, "serving")));
--- a/rig/src/history.rs
+++ b/rig/src/history.rs
@@ -37,6 +37,10 @@
     Released {
         call: u64,
     },
+    /// It was told that the call is over.
+    Cut {
+        call: u64,
+    },
     /// How a machine answers operators: `serving`, `standby`, `starting`, `stopping`, or `silent`.
     Seen {
         machine: String,
--- a/rig/src/peers.rs
+++ b/rig/src/peers.rs
@@ -13,28 +13,81 @@
 
 /// A caller looks so often whether anything has come.
 const LOOK: Duration = Duration::from_millis(5);
-/// A call that stands ends after this.
-pub const HOLDS: Duration = Duration::from_millis(250);
 /// How long a caller says that it waits.
 pub const PATIENCE_MS: u64 = 3_000;
 
-/// A check server: it answers each set-up, and releases each call after a while.
+/// A check server: it answers each set-up, and releases each call after a while. A release goes on the
+/// connection of the set-up, or else on any open one; and on another one again where the one that took it
+/// ends before the release was heard.
 pub struct Server {
     pub address: SocketAddr,
 }
 
 type Writer = Arc<Mutex<TcpStream>>;
 
+#[derive(Default)]
+struct Calls {
+    connections: BTreeMap<u64, Writer>,
+    /// Calls that stand, in the order of their ends, each with its connection.
+    standing: VecDeque<(Instant, u64, u64)>,
+    /// Releases that were not heard, each with the connection that took it, if any did.
+    unheard: BTreeMap<u64, Option<u64>>,
+}
+
+impl Calls {
+    /// Gives a release to a connection, best to its own.
+    fn release(&mut self, call: u64, own: u64) {
+        let message = json!({"op": "end", "call": hex(call), "with": {}, "why": 16});
+        let own = self.connections.get_key_value(&own);
+        let taken = own.into_iter().chain(&self.connections).find(|(_, writer)| say(writer, &message));
+        let taken = taken.map(|(number, _)| *number);
+        self.unheard.insert(call, taken);
+    }
+}
+
 impl Server {
+    /// `holds`: how long a call stands.
+    ///
     /// # Errors
     /// No port is free.
-    pub fn start(number: u32, history: History) -> std::io::Result<Self> {
+    pub fn start(number: u32, holds: Duration, history: History) -> std::io::Result<Self> {
         let listener = TcpListener::bind("127.0.0.1:0")?;
         let address = listener.local_addr()?;
+        let calls: Arc<Mutex<Calls>> = Arc::default();
+        let (releases, notes) = (Arc::downgrade(&calls), history.clone());
         std::thread::spawn(move || {
-            for stream in listener.incoming().flatten() {
-                let history = history.clone();
-                std::thread::spawn(move || serve(stream, number, &history));
+            // Ends with the listener's thread.
+            while let Some(calls) = releases.upgrade() {
+                if let Ok(mut calls) = calls.lock() {
+                    while let Some((at, call, own)) = calls.standing.front().copied() {
+                        if at > Instant::now() {
+                            break;
+                        }
+                        calls.standing.pop_front();
+                        notes.note(What::Released { call });
+                        calls.release(call, own);
+                    }
+                }
+                drop(calls);
+                std::thread::sleep(LOOK);
+            }
+        });
+        std::thread::spawn(move || {
+            for (connection, stream) in (0..).zip(listener.incoming().flatten()) {
+                let (history, calls) = (history.clone(), calls.clone());
+                std::thread::spawn(move || {
+                    let ended = serve(stream, connection, number, holds, &calls, &history);
+                    if let (None, Ok(mut calls)) = (ended, calls.lock()) {
+                        calls.connections.remove(&connection);
+                        let lost: Vec<u64> = calls
+                            .unheard
+                            .iter()
+                            .filter(|(_, taken)| **taken == Some(connection))
+                            .map(|(call, _)| *call)
+                            .collect();
+                        lost.into_iter().for_each(|call| calls.release(call, connection));
+                    }
+                });
             }
         });
         Ok(Server { address })
@@ -46,53 +99,49 @@
     writer.lock().is_ok_and(|mut stream| stream.write_all(line.as_bytes()).is_ok())
 }
 
-/// One connection. Calls that stand are released on it by a thread of its own.
-fn serve(stream: TcpStream, number: u32, history: &History) {
+/// One connection, to its end.
+fn serve(
+    stream: TcpStream,
+    connection: u64,
+    number: u32,
+    holds: Duration,
+    calls: &Mutex<Calls>,
+    history: &History,
+) -> Option<()> {
     let _ = stream.set_nodelay(true);
-    let Ok(reading) = stream.try_clone() else { return };
+    let reading = stream.try_clone().ok()?;
     let writer: Writer = Arc::new(Mutex::new(stream));
     let load = json!({"op": "group", "call": hex(0), "with": {"load": "spare:900;total:900"}});
     say(&writer, &load);
-    let due: Arc<Mutex<VecDeque<(Instant, u64)>>> = Arc::default();
-    let open = Arc::new(AtomicBool::new(true));
-    let (releases, writes, goes, notes) = (due.clone(), writer.clone(), open.clone(), history.clone());
-    std::thread::spawn(move || loop {
-        let next = releases.lock().ok().and_then(|due| due.front().copied());
-        match next {
-            Some((at, call)) if at <= Instant::now() => {
-                if let Ok(mut due) = releases.lock() {
-                    due.pop_front();
-                }
-                notes.note(What::Released { call });
-                if !say(&writes, &json!({"op": "end", "call": hex(call), "with": {}, "why": 16})) {
-                    return;
-                }
-            }
-            None if !goes.load(Ordering::Relaxed) => return,
-            _ => std::thread::sleep(LOOK),
-        }
-    });
+    {
+        let mut calls = calls.lock().ok()?;
+        calls.connections.insert(connection, writer.clone());
+        let untaken: Vec<u64> =
+            calls.unheard.iter().filter(|(_, taken)| taken.is_none()).map(|(call, _)| *call).collect();
+        untaken.into_iter().for_each(|call| calls.release(call, connection));
+    }
     for line in BufReader::new(reading).lines() {
-        let Some(message) = line.ok().and_then(|line| serde_json::from_str::<Value>(&line).ok()) else {
-            break;
-        };
-        let call = message["call"].as_str().and_then(|hex| u64::from_str_radix(hex, 16).ok());
-        let Some(call) = call else { break };
+        let message = line.ok().and_then(|line| serde_json::from_str::<Value>(&line).ok())?;
+        let call = message["call"].as_str().and_then(|hex| u64::from_str_radix(hex, 16).ok())?;
         match message["op"].as_str() {
             Some("test") => {
                 say(&writer, &json!({"op": "tested", "call": hex(call), "with": {}, "why": 1}));
             }
             Some("offer") => {
                 history.note(What::Asked { call, server: number });
+                // Ahead of the answer: whoever hears that may end the call at once.
+                calls.lock().ok()?.standing.push_back((Instant::now() + holds, call, connection));
                 say(&writer, &json!({"op": "accept", "call": hex(call), "with": {}, "desc": "v=1"}));
-                if let Ok(mut due) = due.lock() {
-                    due.push_back((Instant::now() + HOLDS, call));
-                }
+            }
+            Some("ended") => drop(calls.lock().ok()?.unheard.remove(&call)),
+            Some("end") => {
+                history.note(What::Cut { call });
+                calls.lock().ok()?.standing.retain(|(_, standing, _)| *standing != call);
             }
             _ => {}
         }
     }
-    open.store(false, Ordering::Relaxed);
+    None
 }
 
 fn hex(call: u64) -> String {
@@ -102,6 +151,7 @@
 /// A caller that keeps calling at a rate, by way of one machine, and of the others while that one sends it
 /// away.
 pub struct Caller {
+    quiet: Arc<AtomicBool>,
     stop: Arc<AtomicBool>,
     thread: Option<std::thread::JoinHandle<()>>,
 }
@@ -117,8 +167,8 @@
         every: Duration,
         calls: Arc<AtomicU64>,
     ) -> Self {
-        let stop = Arc::new(AtomicBool::new(false));
-        let told = stop.clone();
+        let (stop, quiet) = (Arc::new(AtomicBool::new(false)), Arc::new(AtomicBool::new(false)));
+        let (told, hushed) = (stop.clone(), quiet.clone());
         let thread = std::thread::spawn(move || {
             let mut next = home;
             while !told.load(Ordering::Relaxed) {
@@ -132,7 +182,7 @@
                     std::thread::sleep(LOOK);
                     continue;
                 };
-                if call_on(stream, &machine, &history, every, &calls, &told) {
+                if call_on(stream, &machine, &history, every, &calls, (&hushed, &told)) {
                     // It came to an end in order; the next one is the neighbour's.
                     std::thread::sleep(LOOK);
                 }
@@ -142,7 +192,12 @@
                 }
             }
         });
-        Caller { stop, thread: Some(thread) }
+        Caller { quiet, stop, thread: Some(thread) }
+    }
+
+    /// Makes no more calls, and stays for the releases of others.
+    pub fn quiet(&self) {
+        self.quiet.store(true, Ordering::Relaxed);
     }
 
     /// Makes no more calls, and waits for what is open.
@@ -161,7 +216,7 @@
     history: &History,
     every: Duration,
     calls: &AtomicU64,
-    stop: &AtomicBool,
+    (quiet, stop): (&AtomicBool, &AtomicBool),
 ) -> bool {
     if stream.set_read_timeout(Some(LOOK)).is_err() || stream.set_nodelay(true).is_err() {
         return false;
@@ -178,7 +233,7 @@
             if open.is_empty() || now > since + Duration::from_millis(PATIENCE_MS) {
                 return true;
             }
-        } else if now >= due {
+        } else if now >= due && !quiet.load(Ordering::Relaxed) {
             due = (due + every).max(now - every);
             let call = calls.fetch_add(1, Ordering::Relaxed);
             history.note(What::Offered { call, machine: machine.into() });
--- a/rig/src/rig.rs
+++ b/rig/src/rig.rs
@@ -1,6 +1,6 @@
 //! Real processes: started, killed, stalled and started again, with or without what they had on disk.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream};
 use std::path::{Path, PathBuf};
@@ -23,6 +23,8 @@
 /// A member is known to be lost after this: asked every 0.6 s, suspect for 2.4 s, and some for a busy
 /// machine.
 const NOTICED_MS: u64 = 6_000;
+/// The latest that a release may come after the end of its call or the loss of its machine, and some.
+const RELEASED: Duration = Duration::from_millis(9_000);
 /// The machines of all rigs of this process have addresses of their own.
 static RIGS: AtomicU32 = AtomicU32::new(0);
 /// Rigs at once in this process: more would only wait for each other's processors, and call that a fault.
@@ -64,6 +66,10 @@
     pub rate: f64,
     /// Whether the machines are members of a fleet; without it they are as on the platform.
     pub fleet: bool,
+    /// A call that stands ends after this.
+    pub holds: Duration,
+    /// The table `[copies]` of all machines, where their promises are copied.
+    pub copies: Option<String>,
     /// Machines whose program speaks the older version at the start.
     pub old: Vec<usize>,
     pub plan: Plan,
@@ -105,8 +111,9 @@
         let number = RIGS.fetch_add(1, Ordering::Relaxed);
         let _ = std::fs::remove_dir_all(&setting.directory);
         std::fs::create_dir_all(&setting.directory).expect("a directory");
-        let servers: Vec<Server> =
-            (1..=2).map(|number| Server::start(number, history.clone()).expect("a port")).collect();
+        let servers: Vec<Server> = (1..=2)
+            .map(|number| Server::start(number, setting.holds, history.clone()).expect("a port"))
+            .collect();
         let (high, low) = ((std::process::id() % 200) as u8, (number % 250) as u8);
         let mut machines = Vec::new();
         for place in 0..setting.size {
@@ -175,8 +182,31 @@
         }
     }
 
+    /// Callers make no more calls, but stay, until all that stand have ended or can't any more.
+    pub fn settle_calls(&mut self) {
+        self.callers.iter().for_each(Caller::quiet);
+        let until = Instant::now() + self.setting.holds + RELEASED;
+        while Instant::now() < until {
+            let mut open = BTreeSet::new();
+            for event in self.history.events() {
+                match event.what {
+                    What::Answered { call } => drop(open.insert(call)),
+                    What::Ended { call, .. } => drop(open.remove(&call)),
+                    _ => {}
+                }
+            }
+            if open.is_empty() {
+                return;
+            }
+            std::thread::sleep(LOOK);
+        }
+    }
+
     /// Callers end, and all is judged.
     pub fn finish(&mut self) -> Findings {
+        if self.setting.copies.is_some() {
+            self.settle_calls();
+        }
         self.callers.iter_mut().for_each(Caller::finish);
         let zones = self.machines.iter().map(|machine| (machine.name.clone(), machine.zone.clone()));
         let rules = Rules {
@@ -185,6 +215,7 @@
             answer_ms: PATIENCE_MS + 500,
             release_ms: 8_000,
             noticed_ms: NOTICED_MS,
+            copied: self.setting.copies.is_some(),
         };
         let _ = self.history.write(&self.setting.directory.join("history.jsonl"));
         judge(&self.history.events(), &rules)
@@ -235,7 +266,8 @@
             self.setting.most_out,
             self.setting.calm_s
         );
-        std::fs::write(self.file(place), fleet).expect("written");
+        let copies = self.setting.copies.as_ref().map(|copies| format!("[copies]\n{copies}\n"));
+        std::fs::write(self.file(place), fleet + &copies.unwrap_or_default()).expect("written");
         let config = self.setting.directory.join(format!("{}.json", machine.name));
         std::fs::write(&config, self.configuration(&machine.name).to_string()).expect("written");
         let mut command = Command::new(&self.setting.program);
