Pass on what a renounced call's server says, and try the words of copies one by one

A call that its owner gave up to a successor counted as over there, so that its server's release, which comes on the old owner's connection, was heard and given to nobody (the story of an owner that wakes after 10 s found it once its calls stood for longer than that). Four tables on the core, two on the owner, and guards for what each of them holds.

--- a/agent/src/net/owner.rs
+++ b/agent/src/net/owner.rs
@@ -560,6 +560,8 @@
     use super::*;
     use crate::ports::clock::Clock;
     use crate::ports::conn::{self, Inbox};
+    use crate::ports::copies::Lease;
+    use std::sync::Arc;
     use steprelay_core::{Bounds, ReleaseCause, Request};
     use steprelay_decisions::{Cause, Report, Settings};
     use steprelay_settings::Site;
@@ -638,4 +640,72 @@
         assert!(inbox.next_now().is_none());
         assert_eq!(owner.core.unanswered(), 1, "its attempt is out on another connection");
     }
+
+    /// The same, where promises are copied: with the ends that whoever copies them has.
+    fn with_copies() -> (Owner, Inbox<ToClient>, LinkId, Inbox<ToServer>, Arc<Lease>) {
+        let (mut owner, inbox, link, to_server) = with_call();
+        let (notes, noted) = mpsc::channel(64);
+        // Kept for as long as the owner: a closed one takes no notes.
+        std::mem::forget(noted);
+        let lease = Arc::new(Lease::new(std::time::Instant::now()));
+        let end = CopiesEnd { notes, lease: lease.clone(), after_copies: true, refuse_short: false };
+        owner.copy(end);
+        (owner, inbox, link, to_server, lease)
+    }
+
+    fn hears(owner: &mut Owner, news: News) {
+        owner.take(Input::Copies(news));
+        owner.look_at_copies();
+        owner.carry_out();
+    }
+
+    fn heard(to_server: &mut Inbox<ToServer>) -> usize {
+        std::iter::from_fn(|| to_server.next_now()).filter(|word| matches!(word, ToServer::Heard(_))).count()
+    }
+
+    #[test]
+    fn a_caller_hears_that_its_call_stands_once_others_know_and_a_server_that_its_release_was_heard() {
+        let (mut owner, mut inbox, link, mut to_server, _) = with_copies();
+        owner.take(Input::Answered { link, call: CALL, description: "v=1".into() });
+        owner.carry_out();
+        assert!(inbox.next_now().is_none(), "nobody else knows that it stands");
+        hears(&mut owner, News::Covered(1));
+        assert!(matches!(inbox.next_now(), Some(ToClient::Answer { call: CALL, .. })));
+        owner.take(ended(link));
+        owner.carry_out();
+        owner.look_at_copies();
+        assert!(matches!(inbox.next_now(), Some(ToClient::Released { call: CALL, .. })));
+        assert_eq!(heard(&mut to_server), 0, "its server would not say it again");
+        hears(&mut owner, News::Covered(2));
+        assert_eq!(heard(&mut to_server), 1);
+    }
+
+    #[test]
+    fn an_answer_of_before_waits_for_the_lease_and_is_another_one_where_it_is_lost() {
+        for succeeded in [false, true] {
+            let (mut owner, mut inbox, link, _to_server, lease) = with_copies();
+            // One that ran out long ago, and nothing that waits to be covered.
+            lease.set(1, 0);
+            std::thread::sleep(std::time::Duration::from_millis(2));
+            owner.look_at_copies();
+            owner.take(Input::Answered { link, call: CALL, description: "v=1".into() });
+            owner.carry_out();
+            hears(&mut owner, News::Covered(1));
+            assert!(inbox.next_now().is_none(), "another may have ended it");
+            // What is known of a succession goes before the lease that follows it.
+            lease.set(60_000, u64::from(succeeded));
+            owner.look_at_copies();
+            if succeeded {
+                assert!(inbox.next_now().is_none());
+                hears(&mut owner, News::Renounce([CALL.0].into()));
+                assert!(matches!(
+                    inbox.next_now(),
+                    Some(ToClient::Final { call: CALL, verdict: Verdict::Failed })
+                ));
+            } else {
+                assert!(matches!(inbox.next_now(), Some(ToClient::Answer { call: CALL, .. })));
+            }
+            assert!(inbox.next_now().is_none(), "once");
+        }
+    }
 }
--- a/agent/tests/copies.rs
+++ b/agent/tests/copies.rs
@@ -117,12 +117,16 @@
 }
 
 /// One that is stalled and wakes finds out before its next word. After 3 s nobody has taken over; after 10 s
-/// somebody has, and has given its releases.
+/// somebody has, and has given the releases of the calls that stood at a check server that is gone. What stands
+/// at another one ends while it sleeps, and after that.
 #[test]
 fn an_owner_that_wakes_says_nothing_of_what_another_has_taken_over() {
     for (for_, succeeded) in [(3, false), (10, true)] {
-        let mut rig = begin(copied(&format!("stalls-{for_}"), 5, AFTER));
+        let mut setting = copied(&format!("stalls-{for_}"), 5, AFTER);
+        setting.holds = Duration::from_secs(for_ + 2);
+        let mut rig = begin(setting);
         rig.stall(2);
+        rig.stop_server(0);
         rig.always(seconds(for_), "others serve", |rig| rig.runs(1));
         assert_eq!(said(&rig, "takes over what stream") > 0, succeeded, "{}", rig.told());
         rig.go_on(2);
--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -114,7 +114,7 @@
         promise: Option<Promise>,
         by: Option<Micros>,
     },
-    /// A release of a call that was never known here is passed on; where promises are told.
+    /// The end of a call that was not known here is passed on; where promises are told.
     PassedOn {
         call: CallId,
     },
--- a/core/src/promise.rs
+++ b/core/src/promise.rs
@@ -159,7 +159,8 @@
                 }
                 self.finish(now, *call, Verdict::Failed);
             } else if let Some(standing) = self.relay.take_standing(*call) {
-                self.call_over(now, *call, standing, Outcome::Ok, Report::default());
+                // Not known to be over: where its server says here that it is, that is passed on.
+                self.let_standing_go(now, *call, standing);
             } else {
                 self.relay.forget_owed(*call);
             }
--- a/core/src/relay.rs
+++ b/core/src/relay.rs
@@ -179,6 +179,9 @@
                 self.effects.push(Effect::Release { server, call, cause });
             }
             self.book.note_over(call, Over::Answered);
+            if self.promise_is_told() {
+                self.effects.push(Effect::PassedOn { call });
+            }
         }
     }
 
@@ -295,8 +298,18 @@
         report: Report,
     ) {
         self.book.released(call, over.attempt.server, outcome);
-        over.client.into_iter().for_each(|client| self.clients.over(client));
         let end = End { last: true, report, ..over.attempt.ended(now, call, outcome) };
+        self.stands_no_more(now, over, end);
+    }
+
+    /// A call is another's from now on.
+    pub(super) fn let_standing_go(&mut self, now: Micros, call: CallId, standing: Standing) {
+        let end = End { last: true, ..standing.attempt.ended(now, call, Outcome::Ok) };
+        self.stands_no_more(now, standing, end);
+    }
+
+    fn stands_no_more(&mut self, now: Micros, over: Standing, end: End) {
+        over.client.into_iter().for_each(|client| self.clients.over(client));
         self.decide(now, Event::Ended(end));
     }
 
--- a/core/src/tests.rs
+++ b/core/src/tests.rs
@@ -562,3 +562,131 @@
     assert_eq!(set_up_at(&stand.offer(10, 3_000 * MS)), Some(TWO), "one that is gone does not come back");
     assert_eq!(stand.breaches(), 0);
 }
+
+/// What was told of promises.
+fn promised(effects: &[Effect]) -> Vec<Option<Promise>> {
+    let of = |effect: &Effect| match effect {
+        Effect::Promised { promise, .. } => Some(*promise),
+        _ => None,
+    };
+    effects.iter().filter_map(of).collect()
+}
+
+fn with_promises() -> Stand {
+    let mut stand = Stand::new();
+    stand.core.tell_promises();
+    stand
+}
+
+const CALL: CallId = CallId(5);
+
+#[test]
+fn each_promise_is_told_ahead_of_what_follows_from_it() {
+    let mut stand = with_promises();
+    let sent = stand.offer(5, 1_000 * MS);
+    assert_eq!(promised(&sent), [Some(Promise::Out(ONE))]);
+    assert!(matches!(sent[..], [Effect::Promised { .. }, Effect::SetUp { .. }]), "{sent:?}");
+    let again = stand.end(ONE, 5, ReleaseCause::NO_CIRCUIT);
+    assert_eq!(promised(&again), [None, Some(Promise::Out(TWO))]);
+    let answered = stand.answer(TWO, 5);
+    assert!(
+        matches!(answered[..], [Effect::Promised { by: Some(_), .. }, Effect::Answer { .. }]),
+        "{answered:?}"
+    );
+    assert_eq!(stand.core.promised().collect::<Vec<_>>(), [(CALL, Promise::Stands(TWO))]);
+    let ended = stand.end(TWO, 5, ReleaseCause::NORMAL);
+    assert_eq!(promised(&ended), [Some(Promise::Owed(TWO, ReleaseCause::NORMAL))]);
+    stand.core.release_heard(stand.now, CALLER, CALL);
+    assert_eq!(promised(&stand.core.take_effects()), [None]);
+    assert_eq!(stand.core.promised().count(), 0);
+    assert!(promised(&Stand::new().offer(5, 1_000 * MS)).is_empty(), "unless it was asked for");
+}
+
+#[test]
+fn a_successor_keeps_what_another_had_promised() {
+    let adopted = |promise, also: &[(ServerId, Readiness)]| {
+        let mut stand = with_promises();
+        // A caller that has called takes releases at once.
+        stand.offer(9, 1_000 * MS);
+        stand.answer(ONE, 9);
+        stand.end(ONE, 9, ReleaseCause::NORMAL);
+        stand.core.release_heard(stand.now, CALLER, CallId(9));
+        stand.core.take_effects();
+        stand.list(also);
+        stand.core.adopt(stand.now, CALL, promise);
+        let effects = stand.core.take_effects();
+        (stand, effects)
+    };
+    let (_, effects) = adopted(Promise::Out(ONE), &[]);
+    let cut = Effect::Release { server: ONE, call: CALL, cause: ReleaseCause::NORMAL };
+    assert!(effects.contains(&cut) && promised(&effects) == [None], "{effects:?}");
+    let (_, effects) = adopted(Promise::Owed(ONE, ReleaseCause::NORMAL), &[]);
+    assert!(effects.ends_with(&released(5, ReleaseCause::NORMAL)), "{effects:?}");
+    let (_, effects) = adopted(Promise::Stands(ONE), &[(ONE, Readiness::Gone)]);
+    assert!(effects.ends_with(&released(5, ReleaseCause::TEMPORARY)), "its server went first: {effects:?}");
+    let (mut stand, effects) = adopted(Promise::Stands(ONE), &[]);
+    assert!(effects.is_empty(), "{effects:?}");
+    assert!(stand.end(ONE, 5, ReleaseCause::NORMAL).contains(&released(5, ReleaseCause::NORMAL)[0]));
+    let (mut stand, _) = adopted(Promise::Stands(ONE), &[]);
+    assert!(stand.lost(ONE, LinkLoss::Refused).contains(&released(5, ReleaseCause::TEMPORARY)[0]));
+    // Others have seen to it: nothing is said, now or when its server goes.
+    let (mut stand, _) = adopted(Promise::Stands(ONE), &[]);
+    stand.core.over_elsewhere(stand.now, CALL);
+    assert_eq!(promised(&stand.core.take_effects()), [None]);
+    assert!(stand.lost(ONE, LinkLoss::Refused).is_empty());
+    // The one that was taken for lost says what it did last.
+    let (mut stand, _) = adopted(Promise::Stands(ONE), &[]);
+    stand.core.handed(stand.now, CALL, Some(Promise::Owed(ONE, ReleaseCause::NORMAL)));
+    assert!(stand.core.take_effects().contains(&released(5, ReleaseCause::NORMAL)[0]));
+    stand.core.handed(stand.now, CALL, Some(Promise::Owed(ONE, ReleaseCause::NORMAL)));
+    assert!(stand.core.take_effects().is_empty(), "once");
+}
+
+#[test]
+fn in_doubt_nothing_is_said_of_before_but_what_a_server_says() {
+    let mut stand = with_promises();
+    for call in [5, 6, 7] {
+        stand.offer(call, 1_000 * MS);
+        stand.answer(ONE, call);
+    }
+    stand.end(ONE, 5, ReleaseCause::NORMAL);
+    stand.core.doubt(stand.now + 1, true);
+    stand.now += 1;
+    // Its first connection has not confirmed it; another one would be given it.
+    stand.core.client_opened(stand.now, ClientId(2), None);
+    stand.offer_from(ClientId(2), 8, 1_000 * MS);
+    let said = |done: Vec<(Micros, Effect)>| {
+        done.iter().filter(|(_, e)| matches!(e, Effect::Released { .. })).count()
+    };
+    assert_eq!(said(stand.pass(1_000 * MS)), 0, "a release of before");
+    assert!(stand.end(ONE, 6, ReleaseCause::NORMAL).contains(&released(6, ReleaseCause::NORMAL)[0]));
+    assert!(!stand.lost(ONE, LinkLoss::Refused).contains(&released(7, ReleaseCause::TEMPORARY)[0]));
+    stand.core.doubt(stand.now, false);
+    assert!(stand.core.take_effects().contains(&released(7, ReleaseCause::TEMPORARY)[0]), "all is as it was");
+    assert!(said(stand.pass(1_000 * MS)) > 0);
+}
+
+#[test]
+fn what_another_has_taken_over_is_given_up() {
+    let mut stand = with_promises();
+    for call in [5, 6, 7] {
+        stand.offer(call, 3_000 * MS);
+    }
+    stand.answer(ONE, 5);
+    stand.answer(ONE, 6);
+    stand.end(ONE, 5, ReleaseCause::NORMAL);
+    let calls = [5, 6, 7].map(CallId).into_iter().collect();
+    stand.core.renounce(stand.now, &calls);
+    let effects = stand.core.take_effects();
+    assert!(promised(&effects).is_empty());
+    assert!(effects.contains(&Effect::GiveUp { server: ONE, call: CallId(7) }));
+    let failed = Effect::Final { client: CALLER, call: CallId(7), verdict: Verdict::Failed };
+    assert_eq!(effects.iter().filter(|effect| **effect == failed).count(), 1, "its one answer");
+    assert_eq!(stand.core.promised().count(), 0);
+    assert!(!stand.pass(1_000 * MS).iter().any(|(_, effect)| matches!(effect, Effect::Released { .. })));
+    // Its server says here that it is over: whoever has it now must hear of it, and its caller does.
+    let ended = stand.end(ONE, 6, ReleaseCause::NORMAL);
+    assert!(ended.contains(&Effect::PassedOn { call: CallId(6) }), "{ended:?}");
+    assert!(ended.contains(&released(6, ReleaseCause::NORMAL)[0]), "{ended:?}");
+    assert_eq!(stand.breaches(), 0);
+}
