--- a/rig/src/rig.rs
+++ b/rig/src/rig.rs
@@ -637,5 +637,7 @@
                 let _ = child.wait();
             }
         }
+        // Else they would call on at whoever has these addresses next.
+        self.callers.iter_mut().for_each(Caller::finish);
     }
 }
