Have nobody wait for others that are not there, and say whether a machine may be lost

Before a council was founded, and without a lease, answers waited for copies that could not be had, nearly to the end of their callers' time: they go out at once now and are counted. An answer that waits because another may have taken over becomes a failure when its caller's time is over, and its server hears that.

--- a/agent/src/fleet/command.rs
+++ b/agent/src/fleet/command.rs
@@ -11,7 +11,7 @@
 use steprelay_fleet::Millis;
 
 use super::config::{check_name, FleetConfig, FleetConfigError};
-use super::control::{ask, ControlError, MemberRow, Request, Response, WorkRow};
+use super::control::{ask, ControlError, CopyRow, MemberRow, Request, Response, WorkRow};
 
 /// A script that waits asks so often.
 const LOOK_EVERY: Duration = Duration::from_millis(200);
@@ -301,12 +301,14 @@
                 if json {
                     return print_json(&rows);
                 }
+                let alarm = may_be_lost(&rows, &config);
                 let rows = rows.into_iter().map(|row| {
                     let (epoch, records) = (row.epoch.to_string(), row.records.to_string());
                     let holders = row.holders.join(", ");
                     vec![row.stream, row.writer, epoch, records, row.under_copied.to_string(), holders]
                 });
                 print_table(["STREAM", "WRITER", "EPOCH", "RECORDS", "UNDER-COPIED", "HELD BY"], rows);
+                println!("{} may be lost now: {alarm}", config.name);
             }
             FleetCommand::Roll(roll) => return roll.run(ask),
             FleetCommand::Work(Work { command }) => return command.run(ask),
@@ -315,6 +317,21 @@
     }
 }
 
+/// Whether the machine of a file may be lost with its disk, by what it writes, and else why not.
+fn may_be_lost(rows: &[CopyRow], config: &FleetConfig) -> String {
+    let copies = config.copies.map_or(0, |copies| copies.limits.copies);
+    let own = || rows.iter().filter(|row| row.writer == config.name && row.records > 0);
+    let lacking: u64 = own().map(|row| row.under_copied).sum();
+    match own().map(|row| row.holders.len()).min() {
+        Some(0) => "no: nobody holds its promises".into(),
+        _ if lacking > 0 => format!("no: {lacking} of its promises are held by fewer than {copies} others"),
+        Some(holders) if holders < copies => {
+            format!("yes, and no other after it: {holders} of {copies} hold copies")
+        }
+        _ => "yes".into(),
+    }
+}
+
 impl Roll {
     fn run(self, ask: impl Fn(Request) -> Result<Response, CommandError>) -> Result<(), CommandError> {
         if self.all == self.zone.is_some() {
--- a/agent/src/net/copies.rs
+++ b/agent/src/net/copies.rs
@@ -51,6 +51,8 @@
     /// Releases that came, until the notes of them are numbered; and then by that number.
     came: Vec<(LinkId, CallId)>,
     heard: VecDeque<(u64, LinkId, CallId)>,
+    /// Too few others can take copies: nothing waits for them.
+    short: bool,
     /// Calls that were out when the doubt began.
     doubt: Option<BTreeSet<CallId>>,
     /// Went out though too few others knew.
@@ -71,13 +73,16 @@
             order: VecDeque::new(),
             came: Vec::new(),
             heard: VecDeque::new(),
+            short: true,
             doubt: None,
             uncopied: 0,
         }
     }
 
-    pub fn refuses_short(&self) -> bool {
-        self.end.refuse_short
+    /// Whether too few others can take copies; returns whether set-ups are refused meanwhile.
+    pub fn short(&mut self, short: bool) -> bool {
+        self.short = short;
+        short && self.end.refuse_short
     }
 
     /// A promise has changed.
@@ -114,11 +119,13 @@
 
     /// What is not to go out yet is kept; all else comes back.
     pub fn hold(&mut self, now: Micros, effect: Effect) -> Option<Effect> {
-        let waits = self.end.after_copies && (self.behind || self.covered < self.noted);
+        let uncovered = self.end.after_copies && (self.behind || self.covered < self.noted);
+        let waits = uncovered && !self.short;
         match &effect {
             Effect::Answer { call, .. } => {
                 let doubted = self.doubt.as_ref().is_some_and(|calls| calls.contains(call));
                 if !waits && !doubted {
+                    self.uncopied += u64::from(uncovered);
                     return Some(effect);
                 }
                 let (call, by) = (*call, self.by.unwrap_or(now));
@@ -171,9 +178,10 @@
     pub fn due(&mut self, now: Micros) -> (Vec<Effect>, Vec<(LinkId, CallId)>) {
         let mut effects = Vec::new();
         while let Some((number, call)) = self.order.front().copied() {
-            if number > self.covered {
+            if number > self.covered && !self.short {
                 break;
             }
+            self.uncopied += u64::from(number > self.covered);
             self.order.pop_front();
             effects.extend(self.set_ups.remove(&call).map(|waiting| waiting.effect));
             let doubted = self.doubt.as_ref().is_some_and(|calls| calls.contains(&call));
@@ -181,7 +189,7 @@
                 effects.extend(self.answers.remove(&call).map(|waiting| waiting.effect));
             }
         }
-        // Nobody waits past its time for others; those in doubt get another answer then.
+        // Nobody waits past its time for others.
         let doubt = self.doubt.as_ref();
         let late = |(call, waiting): (&CallId, &Waiting)| {
             let doubted = doubt.is_some_and(|calls| calls.contains(call));
@@ -201,6 +209,16 @@
         (effects, heard)
     }
 
+    /// Answers that waited because of a doubt, and whose callers' time is over: they are to get another one.
+    pub fn given_up(&mut self, now: Micros) -> Vec<Effect> {
+        if self.doubt.is_none() {
+            return Vec::new();
+        }
+        let late = |(call, waiting): (&CallId, &Waiting)| (now >= waiting.by).then_some(*call);
+        let late: Vec<CallId> = self.answers.iter().filter_map(late).collect();
+        late.iter().filter_map(|call| self.answers.remove(call)).map(|waiting| waiting.effect).collect()
+    }
+
     /// Whether anything waits that time alone may let out.
     pub fn waits(&self) -> bool {
         !self.answers.is_empty() || !self.set_ups.is_empty() || self.doubt.is_some() || self.behind
--- a/agent/src/net/owner.rs
+++ b/agent/src/net/owner.rs
@@ -5,7 +5,7 @@
 
 use steprelay_copies::member::News;
 use steprelay_core::duty::State;
-use steprelay_core::{Breach, ClientId, Core, Effect, LinkLoss, Promise, Source, Verdict};
+use steprelay_core::{Breach, ClientId, Core, Effect, LinkLoss, Promise, ReleaseCause, Source, Verdict};
 use steprelay_decisions::{CallId, Entry, ListKind, Micros, Readiness, ServerId};
 use tokio::sync::mpsc;
 use tokio::time::{sleep, sleep_until, Duration};
@@ -431,7 +431,9 @@
         if copies.is_behind() {
             copies.all(self.core.promised().collect());
         }
+        let given_up = copies.given_up(now);
         let (effects, heard) = copies.due(now);
+        self.give_up(now, given_up);
         effects.into_iter().for_each(|effect| self.say(now, effect));
         for (link, call) in heard {
             if self.links.is_current(link) {
@@ -440,6 +442,16 @@
         }
     }
 
+    /// Answers that never went out, and never will.
+    fn give_up(&mut self, now: Micros, answers: Vec<Effect>) {
+        for effect in answers {
+            if let Effect::Answer { client, call, .. } = effect {
+                self.say(now, Effect::Final { client, call, verdict: Verdict::Failed });
+                self.core.client_ended(now, client, call, ReleaseCause::NORMAL);
+            }
+        }
+    }
+
     fn heard_of_copies(&mut self, now: Micros, news: News) {
         match news {
             News::Covered(covered) => {
@@ -472,8 +484,8 @@
                 calls.into_iter().for_each(|call| self.core.over_elsewhere(now, copies::call(call)));
             }
             News::Short(short) => {
-                let refuse = self.copies.as_ref().is_some_and(Copies::refuses_short);
-                self.core.refuse_uncopied(short && refuse);
+                let refuse = self.copies.as_mut().is_some_and(|copies| copies.short(short));
+                self.core.refuse_uncopied(refuse);
             }
         }
     }
@@ -562,7 +574,7 @@
     use crate::ports::conn::{self, Inbox};
     use crate::ports::copies::Lease;
     use std::sync::Arc;
-    use steprelay_core::{Bounds, ReleaseCause, Request};
+    use steprelay_core::{Bounds, Request};
     use steprelay_decisions::{Cause, Report, Settings};
     use steprelay_settings::Site;
 
@@ -666,6 +678,7 @@
     #[test]
     fn a_caller_hears_that_its_call_stands_once_others_know_and_a_server_that_its_release_was_heard() {
         let (mut owner, mut inbox, link, mut to_server, _) = with_copies();
+        hears(&mut owner, News::Short(false));
         owner.take(Input::Answered { link, call: CALL, description: "v=1".into() });
         owner.carry_out();
         assert!(inbox.next_now().is_none(), "nobody else knows that it stands");
@@ -680,6 +693,31 @@
         assert_eq!(heard(&mut to_server), 1);
     }
 
+    #[test]
+    fn nobody_waits_for_others_that_are_not_there_nor_past_its_time() {
+        let (mut owner, mut inbox, link, _to_server, _) = with_copies();
+        owner.take(Input::Answered { link, call: CALL, description: "v=1".into() });
+        owner.carry_out();
+        assert!(matches!(inbox.next_now(), Some(ToClient::Answer { call: CALL, .. })), "too few are there");
+        assert_eq!(owner.copies.as_ref().map(|copies| copies.uncopied), Some(1));
+        // In doubt, until its caller would give up: then it hears that it failed, and its server that it is over.
+        let (mut owner, mut inbox, link, mut to_server, lease) = with_copies();
+        lease.set(1, 0);
+        std::thread::sleep(std::time::Duration::from_millis(2));
+        owner.look_at_copies();
+        owner.take(Input::Answered { link, call: CALL, description: "v=1".into() });
+        owner.carry_out();
+        let late = owner.shared.clock.now() + 60_000_000;
+        let given_up = owner.copies.as_mut().map(|copies| copies.given_up(late)).unwrap_or_default();
+        assert!(matches!(given_up[..], [Effect::Answer { call: CALL, .. }]) && inbox.next_now().is_none());
+        owner.give_up(late, given_up);
+        owner.carry_out();
+        assert!(matches!(inbox.next_now(), Some(ToClient::Final { call: CALL, verdict: Verdict::Failed })));
+        let ends = |word: &ToServer| matches!(word, ToServer::Release(CALL, _));
+        assert_eq!(std::iter::from_fn(|| to_server.next_now()).filter(ends).count(), 1);
+        assert_eq!(owner.core.standing(), 0);
+    }
+
     #[test]
     fn an_answer_of_before_waits_for_the_lease_and_is_another_one_where_it_is_lost() {
         for succeeded in [false, true] {
--- a/agent/tests/copies.rs
+++ b/agent/tests/copies.rs
@@ -47,6 +47,8 @@
             .iter()
             .filter(|row| row["holders"][0] == rig.name(place) && row["records"].as_u64() > Some(10));
         assert_eq!(held.count(), 2, "{said}");
+        let (_, said) = rig.staff(place, &["copies"]);
+        assert!(said.contains(&format!("{} may be lost now: ", rig.name(place))), "{said}");
     }
     assert_eq!(good(&mut rig).taken, 0);
 }
@@ -189,3 +191,19 @@
     rig.roll_on(seconds(60));
     good(&mut rig);
 }
+
+/// One that stops in order has said its last word: what stands there is another's at once, also with one copy.
+#[test]
+fn a_machine_that_stops_in_order_hands_over_what_stands() {
+    let mut setting = copied("stops", 4, "copies = 1");
+    setting.holds = Duration::from_secs(5);
+    let mut rig = begin(setting);
+    let leader = rig.leader().expect("one leads");
+    let place = (leader + 1) % 4;
+    rig.stop(place);
+    rig.stop_server(0);
+    rig.until(seconds(3), "no lease is waited for", |rig| said(rig, "takes over what stream") > 0);
+    kept(&mut rig, 1);
+    let findings = good(&mut rig);
+    assert!(findings.taken > 20, "{findings:?}");
+}
