--- a/copies/tests/lives.rs
+++ b/copies/tests/lives.rs
@@ -1,7 +1,7 @@
 //! Lives of a stream under a fake now: a writer, holders and a successor on a network that loses, delays,
 //! doubles and reorders, with members that are lost. Judged by the list of changes alone.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
@@ -167,7 +167,8 @@
 
     /// A member succeeds by an epoch; what it found.
     fn succeed(&mut self, by: usize, epoch: u64) -> Found {
-        let others: Vec<String> = (0..self.members.len()).filter(|other| *other != by).map(name).collect();
+        let others = (0..self.members.len()).filter(|other| *other != by && self.members[*other].alive);
+        let others: Vec<String> = others.map(name).collect();
         self.members[by].holder.fence(STREAM, epoch);
         let own = self.members[by].holder.copy(STREAM).map(|copy| Found {
             epoch: copy.epoch(),
@@ -304,6 +305,26 @@
     }
 }
 
+/// What is lost on the way is said again soon, however much there is to say meanwhile.
+#[test]
+fn what_is_new_is_covered_soon_on_a_bad_network() {
+    for seed in 0..20 {
+        let mut world = World::new(seed, 5, 1);
+        world.place(0);
+        // When each number was noted, and the longest that one waited.
+        let (mut noted, mut longest) = (VecDeque::new(), 0);
+        for _ in 0..1_000 {
+            world.note();
+            noted.push_back(world.now);
+            world.step();
+            let open = world.writer(0).number() - world.writer(0).covered();
+            noted.drain(..noted.len() - open as usize);
+            longest = longest.max(noted.front().map_or(0, |at| world.now - at));
+        }
+        assert!(longest < 450, "seed {seed}: {longest} ms");
+    }
+}
+
 /// A holder that is cut off is slow, and others cover what is new without it.
 #[test]
 fn a_slow_holder_is_passed_over() {
@@ -344,3 +365,27 @@
     assert!(matches!(holder.received(0, "n0", 0, word), Some(Word::Fenced { .. })));
     assert_eq!((holder.held(), holder.copies().count()), (0, 0));
 }
+
+/// From a successor's question on, the writer before it is told that it writes no more, and no word of it
+/// counts: what the successor was told would else be less than what is held.
+#[test]
+fn whoever_was_asked_by_a_successor_takes_nothing_of_the_one_before() {
+    let mut holder = Holder::default();
+    let stands = Some(Record::Stands { server: 1 });
+    let word = |after, call| Word::Changes { stream: STREAM, epoch: 0, after, changes: vec![(call, stands)] };
+    assert!(matches!(holder.received(0, "n0", 0, word(0, 1)), Some(Word::Holds { number: 1, .. })));
+    let asked = holder.received(0, "n2", 0, Word::Fetch { stream: STREAM, epoch: 1, from: 0 });
+    assert!(matches!(asked, Some(Word::Fetched { number: 1, .. })));
+    assert!(matches!(holder.received(0, "n0", 0, word(1, 2)), Some(Word::Fenced { epoch: 1, .. })));
+    // Nor does one that held nothing begin now.
+    let mut empty = Holder::default();
+    empty.received(0, "n2", 0, Word::Fetch { stream: STREAM, epoch: 1, from: 0 });
+    assert!(matches!(empty.received(0, "n0", 0, word(0, 1)), Some(Word::Fenced { epoch: 1, .. })));
+    // An older question is answered by no one.
+    let asked = holder.received(0, "n3", 0, Word::Fetch { stream: STREAM, epoch: 0, from: 0 });
+    assert!(matches!(asked, Some(Word::Fenced { epoch: 1, .. })));
+    // The successor's first word is the whole: changes on what the one before wrote would be of another past.
+    let changes = Word::Changes { stream: STREAM, epoch: 1, after: 1, changes: vec![(3, stands)] };
+    assert!(matches!(holder.received(0, "n2", 0, changes), Some(Word::Holds { number: 0, .. })));
+    assert_eq!(holder.copy(STREAM).expect("held").records().keys().collect::<Vec<_>>(), [&1]);
+}
