--- a/agent/benches/copies.rs
+++ b/agent/benches/copies.rs
@@ -118,8 +118,8 @@
         }
         took.sort_unstable();
         println!(
-            "a machine lost with its disk and {standing} calls, a check server with it: settled after {} ms, all kept \
-             after {} ms (median of {PLAYS} plays; worst {} and {}); calls stand for 9 s",
+            "a machine lost with its disk and {standing} calls, a check server with it: settled after {} ms, all \
+             kept after {} ms (median of {PLAYS} plays; worst {} and {}); calls stand for 9 s",
             took[PLAYS / 2].0,
             took[PLAYS / 2].1,
             took[PLAYS - 1].0,
--- a/agent/src/fleet/copies.rs
+++ b/agent/src/fleet/copies.rs
@@ -27,7 +27,8 @@
     news: mpsc::Sender<News>,
     /// News that found no room yet.
     waiting: VecDeque<News>,
-    /// Somebody waits for what is noted to be held; else it goes out with the next tick, many notes in one word.
+    /// Somebody waits for what is noted to be held; else it goes out with the next tick, many notes in one
+    /// word.
     urgent: bool,
     /// A lease that others gave, but that the program is not told of before the news ahead of it.
     leased: Option<Millis>,
--- a/agent/src/net/owner.rs
+++ b/agent/src/net/owner.rs
@@ -700,7 +700,8 @@
         owner.carry_out();
         assert!(matches!(inbox.next_now(), Some(ToClient::Answer { call: CALL, .. })), "too few are there");
         assert_eq!(owner.copies.as_ref().map(|copies| copies.uncopied), Some(1));
-        // In doubt, until its caller would give up: then it hears that it failed, and its server that it is over.
+        // In doubt, until its caller would give up: then it hears that it failed, and its server that it is
+        // over.
         let (mut owner, mut inbox, link, mut to_server, lease) = with_copies();
         lease.set(1, 0);
         std::thread::sleep(std::time::Duration::from_millis(2));
--- a/agent/tests/copies.rs
+++ b/agent/tests/copies.rs
@@ -119,8 +119,8 @@
 }
 
 /// One that is stalled and wakes finds out before its next word. After 3 s nobody has taken over; after 10 s
-/// somebody has, and has given the releases of the calls that stood at a check server that is gone. What stands
-/// at another one ends while it sleeps, and after that.
+/// somebody has, and has given the releases of the calls that stood at a check server that is gone. What
+/// stands at another one ends while it sleeps, and after that.
 #[test]
 fn an_owner_that_wakes_says_nothing_of_what_another_has_taken_over() {
     for (for_, succeeded) in [(3, false), (10, true)] {
@@ -192,7 +192,8 @@
     good(&mut rig);
 }
 
-/// One that stops in order has said its last word: what stands there is another's at once, also with one copy.
+/// One that stops in order has said its last word: what stands there is another's at once, also with one
+/// copy.
 #[test]
 fn a_machine_that_stops_in_order_hands_over_what_stands() {
     let mut setting = copied("stops", 4, "copies = 1");
--- a/copies/src/lib.rs
+++ b/copies/src/lib.rs
@@ -8,7 +8,8 @@
 //! - When the process is lost, exactly one successor reads what the holders have ([`takeover::Takeover`]) and
 //!   writes the stream on under a higher *epoch*, which holders know and by which they refuse the one before.
 //!
-//! [`member::Member`] is all of that together. Who succeeds whom is agreed elsewhere; here the epoch is taken as given.
+//! [`member::Member`] is all of that together. Who succeeds whom is agreed elsewhere; here the epoch is
+//! taken as given.
 //!
 //! ```
 //! use steprelay_copies::holder::Holder;
--- a/copies/src/member.rs
+++ b/copies/src/member.rs
@@ -1,7 +1,8 @@
 //! One member's part in copies: what it writes, what it holds, what it takes over, and what it says.
 //!
-//! Its process notes what it promises ([`Member::note`]) and is told [`News`]. Nothing is written, and nothing
-//! taken over, without a lease: whoever sleeps or is cut off finds out first whether it was succeeded.
+//! Its process notes what it promises ([`Member::note`]) and is told [`News`]. Nothing is written, and
+//! nothing taken over, without a lease: whoever sleeps or is cut off finds out first whether it was
+//! succeeded.
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
--- a/copies/src/placement.rs
+++ b/copies/src/placement.rs
@@ -17,8 +17,9 @@
 /// Loads below this are no loads: parts of little say nothing.
 const LIGHT: usize = 1_000;
 
-/// The names of those that are to hold a stream of a member in `zone`: other zones first, each zone once while
-/// there are more, then by what they draw. Whoever has too much is passed over while others are there.
+/// The names of those that are to hold a stream of a member in `zone`: other zones first, each zone once
+/// while there are more, then by what they draw. Whoever has too much is passed over while others are
+/// there.
 pub fn holders<'a>(stream: u64, zone: &str, places: &[Place<'a>], copies: usize) -> Vec<&'a str> {
     let total: f64 = places.iter().map(|place| place.load as f64).sum();
     let weights: f64 = places.iter().map(|place| place.weight).sum();
--- a/copies/src/takeover.rs
+++ b/copies/src/takeover.rs
@@ -9,8 +9,8 @@
 
 /// Who has not answered is asked again after this.
 const AGAIN: Millis = 200;
-/// Who is alive, by what others say, and has not answered after this is waited for no more: a release may take
-/// 8 s, and most of that is gone by now.
+/// Who is alive, by what others say, and has not answered after this is waited for no more: a release may
+/// take 8 s, and most of that is gone by now.
 const PATIENCE: Millis = 2_000;
 
 #[derive(Debug)]
--- a/copies/src/writer.rs
+++ b/copies/src/writer.rs
@@ -34,8 +34,8 @@
     boot: u64,
     held: u64,
     sent: u64,
-    /// When it last confirmed something new, or was last owed nothing; and when it was last told again what it
-    /// had not confirmed.
+    /// When it last confirmed something new, or was last owed nothing; and when it was last told again what
+    /// it had not confirmed.
     moved: Millis,
     again: Millis,
     /// How often it confirmed nothing new since: it lacks what comes next.
--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -107,8 +107,8 @@
         client: ClientId,
         inputs: u64,
     },
-    /// What is promised of a call has changed, `None` for nothing any more; where it was asked for. `by`: when
-    /// its caller must have heard of it, where that follows from it.
+    /// What is promised of a call has changed, `None` for nothing any more; where it was asked for. `by`:
+    /// when its caller must have heard of it, where that follows from it.
     Promised {
         call: CallId,
         promise: Option<Promise>,
--- a/fleet/src/words.rs
+++ b/fleet/src/words.rs
@@ -79,8 +79,8 @@
     },
     /// The sender is about to end in order.
     Leaving,
-    /// To the leader: the sender wants its lease renewed, by its own clock at `asked`, for the streams that it
-    /// writes; and what it holds for others.
+    /// To the leader: the sender wants its lease renewed, by its own clock at `asked`, for the streams that
+    /// it writes; and what it holds for others.
     Renew {
         asked: Millis,
         writes: Vec<Written>,
--- a/fleet/tests/streams.rs
+++ b/fleet/tests/streams.rs
@@ -116,7 +116,8 @@
 }
 
 /// The leader and another one are alone together: it renews the other until it finds out that it leads no
-/// more. Where it sleeps meanwhile, it wakes believing that it leads, and its word renews nobody's lease then.
+/// more. Where it sleeps meanwhile, it wakes believing that it leads, and its word renews nobody's lease
+/// then.
 #[test]
 fn a_leader_that_leads_no_more_renews_nobody_for_long() {
     let mut succeeded = 0;
--- a/rig/src/checker.rs
+++ b/rig/src/checker.rs
@@ -30,8 +30,8 @@
     pub stood: usize,
     /// Answered with a refusal or an error.
     pub refused: usize,
-    /// Releases that a caller was given again, since a machine was killed right after it had given them: nobody
-    /// could know that they were heard.
+    /// Releases that a caller was given again, since a machine was killed right after it had given them:
+    /// nobody could know that they were heard.
     pub again: usize,
     /// Calls that were open at a machine when it was killed: no answer and no release is owed for them.
     pub taken: usize,
--- a/src/controller.rs
+++ b/src/controller.rs
@@ -582,8 +582,8 @@
             (server.tokens, server.need_until) = (server.tokens - need, 0);
         }
         let grown = bound * seconds((now - server.tokens_at).max(0));
-        // Where room for a part of a set-up is all that may gather, as many nodes are drawn to pass as there is
-        // room for all; what one owes beyond what gathers would be lost to all of them.
+        // Where room for a part of a set-up is all that may gather, as many nodes are drawn to pass as
+        // there is room for all; what one owes beyond what gathers would be lost to all of them.
         let most_owed = if cold.is_some() { burst } else { f64::MAX };
         server.tokens = (server.tokens.max(-most_owed) + grown).min(burst);
         server.tokens_at = now;
