--- a/agent/benches/copies.rs
+++ b/agent/benches/copies.rs
@@ -118,7 +118,7 @@
         }
         took.sort_unstable();
         println!(
-            "a machine lost with its disk and {standing} calls, a check server with it: settled after {} ms, all \
+            "a machine lost with its disk and {standing} calls, and a check server: settled after {} ms, all \
              kept after {} ms (median of {PLAYS} plays; worst {} and {}); calls stand for 9 s",
             took[PLAYS / 2].0,
             took[PLAYS / 2].1,
