--- a/fleet/src/node/mod.rs
+++ b/fleet/src/node/mod.rs
@@ -502,7 +502,7 @@
                 }
             }
             Payload::Renew { asked, writes, holds } => self.renew(now, &from, asked, &writes, holds),
-            Payload::Renewed { asked } => self.renewed(&from, asked),
+            Payload::Renewed { boot, asked } => self.renewed(&from, boot, asked),
             Payload::Copies(bytes) => self.effects.push(Effect::Copies { from: Box::new(from), bytes }),
         }
         self.turn_council(now);
--- a/fleet/src/node/streams.rs
+++ b/fleet/src/node/streams.rs
@@ -28,6 +28,9 @@
     asked: Option<Millis>,
     /// When it last woke from a sleep: until [`OLD_LEADER`] later it may be an old leader without knowing.
     woke: Option<Millis>,
+    /// Streams whose succession this member put into the log as the leader of a term, with their epochs: while
+    /// it may still be agreed their writers are not renewed, also where the lead was given up meanwhile.
+    under_way: BTreeMap<u64, (u64, u64)>,
 }
 
 impl Streams {
@@ -42,9 +45,6 @@
     /// By the start of the program: when it was last renewed.
     renewed: BTreeMap<u64, Millis>,
     holds: BTreeMap<String, (Vec<Held>, Millis)>,
-    /// Streams whose succession was put into the log and is not agreed yet, with their writers and epochs:
-    /// these are not renewed meanwhile.
-    under_way: BTreeMap<u64, (String, u64)>,
 }
 
 impl Node {
@@ -118,9 +118,10 @@
             None => written.epoch == 0 && !agreed.settled.contains(&written.stream),
         };
         let all_own = writes.iter().all(own);
+        self.settle_under_way();
         let Some(lead) = &mut self.lead else { return };
         lead.leases.holds.insert(from.name.clone(), (holds, now));
-        let moves = |written: &Written| lead.leases.under_way.contains_key(&written.stream);
+        let moves = |written: &Written| self.streams.under_way.contains_key(&written.stream);
         if !all_own || writes.iter().any(moves) {
             // It hears of its succession by what is agreed.
             let (index, leader) = (self.page.index, self.leader_name());
@@ -131,11 +132,14 @@
         if from.boot == self.me().boot {
             self.streams.lease = Some(asked + LEASE);
         } else {
-            self.send(from.address, Payload::Renewed { asked });
+            self.send(from.address, Payload::Renewed { boot: from.boot, asked });
         }
     }
 
-    pub(super) fn renewed(&mut self, from: &Member, asked: Millis) {
+    pub(super) fn renewed(&mut self, from: &Member, boot: u64, asked: Millis) {
+        if boot != self.me().boot {
+            return;
+        }
         // Only a voter can lead; whoever was put out of the council since says nothing more.
         if self.page.agreed.voters.contains_key(&from.node)
             && self.streams.asked.is_some_and(|at| asked <= at)
@@ -144,13 +148,21 @@
         }
     }
 
+    /// Forgets successions that are agreed, and those of terms before: a leader that leads for sure has
+    /// applied whatever came of them.
+    fn settle_under_way(&mut self) {
+        let term = self.council.as_ref().map_or(0, Council::term);
+        let agreed = &self.page.agreed;
+        self.streams.under_way.retain(|stream, (epoch, of)| {
+            *of == term && agreed.epoch(*stream).is_some_and(|now| now < *epoch)
+        });
+    }
+
     /// Has the streams of writers that are lost written on by others.
     pub(super) fn keep_streams(&mut self, now: Millis) {
+        self.settle_under_way();
         let Some(lead) = &mut self.lead else { return };
         let agreed = &self.page.agreed;
-        lead.leases
-            .under_way
-            .retain(|stream, (_, epoch)| agreed.epoch(*stream).is_some_and(|now| now < *epoch));
         lead.leases.holds.retain(|_, (_, at)| now < *at + TOLD);
         lead.leases.renewed.retain(|_, at| now < *at + GRACE);
         if now < lead.since + GRACE || lead.leases.holds.is_empty() {
@@ -175,7 +187,7 @@
         }
         let mut orders = Vec::new();
         for (stream, (writer, epoch, boot)) in found {
-            if lead.leases.under_way.contains_key(&stream) {
+            if self.streams.under_way.contains_key(&stream) {
                 continue;
             }
             let same = |known: u64| known == boot;
@@ -213,12 +225,13 @@
             );
             if let Some((name, _)) = next {
                 let (name, boot) = (name.clone(), boot_of(name));
-                orders.push((writer, Command::Succeed { stream, epoch: epoch + 1, name, boot }));
+                orders.push(Command::Succeed { stream, epoch: epoch + 1, name, boot });
             }
         }
-        for (writer, command) in orders {
-            if let (Command::Succeed { stream, epoch, .. }, Some(lead)) = (&command, &mut self.lead) {
-                lead.leases.under_way.insert(*stream, (writer, *epoch));
+        let term = self.council.as_ref().map_or(0, Council::term);
+        for command in orders {
+            if let Command::Succeed { stream, epoch, .. } = &command {
+                self.streams.under_way.insert(*stream, (*epoch, term));
             }
             self.order(command);
         }
--- a/fleet/src/words.rs
+++ b/fleet/src/words.rs
@@ -86,8 +86,10 @@
         writes: Vec<Written>,
         holds: Vec<Held>,
     },
-    /// The leader's word that all of them are still the sender's to write.
+    /// The leader's word that all of them are still the sender's to write, in that start of its program: one
+    /// that comes late must not count for the next.
     Renewed {
+        boot: u64,
         asked: Millis,
     },
     /// Between those that write and hold copies; the front knows how to read it.
