--- a/fleet/src/node/streams.rs
+++ b/fleet/src/node/streams.rs
@@ -28,8 +28,9 @@
     asked: Option<Millis>,
     /// When it last woke from a sleep: until [`OLD_LEADER`] later it may be an old leader without knowing.
     woke: Option<Millis>,
-    /// Streams whose succession this member put into the log as the leader of a term, with their epochs: while
-    /// it may still be agreed their writers are not renewed, also where the lead was given up meanwhile.
+    /// Streams whose succession this member put into the log as the leader of a term, with their epochs:
+    /// while it may still be agreed their writers are not renewed, also where the lead was given up
+    /// meanwhile.
     under_way: BTreeMap<u64, (u64, u64)>,
 }
 
