--- a/agent/src/net/owner.rs
+++ b/agent/src/net/owner.rs
@@ -659,7 +659,9 @@
         let (notes, noted) = mpsc::channel(64);
         // Kept for as long as the owner: a closed one takes no notes.
         std::mem::forget(noted);
-        let lease = Arc::new(Lease::new(std::time::Instant::now()));
+        // Of a second ago: a lease may have run out by now.
+        let started = std::time::Instant::now().checked_sub(std::time::Duration::from_secs(1));
+        let lease = Arc::new(Lease::new(started.expect("the machine runs for longer")));
         let end = CopiesEnd { notes, lease: lease.clone(), after_copies: true, refuse_short: false };
         owner.copy(end);
         (owner, inbox, link, to_server, lease)
@@ -704,7 +706,6 @@
         // over.
         let (mut owner, mut inbox, link, mut to_server, lease) = with_copies();
         lease.set(1, 0);
-        std::thread::sleep(std::time::Duration::from_millis(2));
         owner.look_at_copies();
         owner.take(Input::Answered { link, call: CALL, description: "v=1".into() });
         owner.carry_out();
@@ -725,7 +726,6 @@
             let (mut owner, mut inbox, link, _to_server, lease) = with_copies();
             // One that ran out long ago, and nothing that waits to be covered.
             lease.set(1, 0);
-            std::thread::sleep(std::time::Duration::from_millis(2));
             owner.look_at_copies();
             owner.take(Input::Answered { link, call: CALL, description: "v=1".into() });
             owner.carry_out();
