--- a/agent/src/front/m3ua/mod.rs
+++ b/agent/src/front/m3ua/mod.rs
@@ -25,6 +25,7 @@
 use tokio::time::sleep_until;
 
 use crate::ports::conn::{self, Outbox};
+use crate::ports::dispatch::Dispatch;
 use crate::ports::{Input, LinkId, Shared, ToClient, ToServer, Unwritten};
 pub use config::{M3uaConfig, M3uaConfigError};
 pub use kept::KeptError;
@@ -45,6 +46,9 @@
 /// Bytes for an association, which are counted until they are written.
 pub struct Bytes {
     bytes: Vec<u8>,
+    /// Of a set-up to a server. What follows for its circuit goes out also where this does not: a release of
+    /// an idle circuit is confirmed (Q.764 2.9.5).
+    dispatch: Option<Dispatch>,
     _unwritten: Unwritten,
 }
 
@@ -52,6 +56,10 @@
     fn weight(&self) -> usize {
         self.bytes.len()
     }
+
+    fn is_cancelled(&self) -> bool {
+        self.dispatch.as_ref().is_some_and(Dispatch::is_cancelled)
+    }
 }
 
 /// What the tasks of connections and of the owner's messages tell the front's task.
@@ -114,6 +122,8 @@
     kept: Option<Rc<Kept>>,
     /// When the bytes that are being looked at came.
     came: Micros,
+    /// The set-up that is being sent to a server.
+    sending: Option<Dispatch>,
     inputs: Vec<Input>,
 }
 
@@ -142,7 +152,9 @@
     let servers = config.servers.iter().map(|_| ServerState::default()).collect();
     let handle = Handle { config: Rc::new(config), told, shared, office, kept: kept.clone() };
     let (outboxes, inputs) = (BTreeMap::new(), Vec::new());
-    let front = Front { handle: handle.clone(), queue, outboxes, servers, start, kept, came: now, inputs };
+    let sending = None;
+    let front =
+        Front { handle: handle.clone(), queue, outboxes, servers, start, kept, came: now, sending, inputs };
     spawn_local(front.run());
     Ok(handle)
 }
@@ -304,14 +316,18 @@
             }
             ToClient::Draining => Event::Ourselves { route: Route::Restricted, level: 0 },
             ToClient::Pressure(level) => Event::Ourselves { route: Route::Available, level },
-            ToClient::Passed(_) | ToClient::NotPassed(_) | ToClient::LetGo { .. } => return,
+            // A peer's association is not a call's: it ends with the program.
+            ToClient::Passed(_) | ToClient::NotPassed(_) | ToClient::LetGo { .. } | ToClient::Finish => {
+                return;
+            }
         };
         self.office(event);
     }
 
     fn tell_server(&mut self, link: LinkId, server: usize, message: ToServer) {
         let event = match message {
-            ToServer::SetUp(set_up) => {
+            ToServer::SetUp(_, dispatch) if dispatch.is_cancelled() => return,
+            ToServer::SetUp(set_up, dispatch) => {
                 let Some(category) = self.handle.config.category(set_up.class) else {
                     return self.no_circuit(link, set_up.call);
                 };
@@ -320,6 +336,9 @@
                 let continuity = Continuity::NotRequired;
                 let set_up = SetUp { category, continuity, number, description, segmented: false };
                 self.handle.shared.tally(|tallies| tallies.dispatches += 1);
+                // Its circuit is taken from now on, whether anything leaves or not.
+                dispatch.begin();
+                self.sending = Some(dispatch);
                 Event::SetUp { server, call, set_up }
             }
             ToServer::Probe(call) => Event::Probe { server, data: call.0.to_be_bytes() },
@@ -331,6 +350,7 @@
             }
         };
         self.office(event);
+        self.sending = None;
     }
 
     fn no_circuit(&mut self, link: LinkId, call: CallId) {
@@ -355,7 +375,8 @@
     fn carry_out(&mut self, now: Micros, effect: Effect) {
         match effect {
             Effect::Write(association, bytes) => {
-                let message = Bytes { bytes, _unwritten: self.handle.shared.unwritten() };
+                let (dispatch, unwritten) = (self.sending.clone(), self.handle.shared.unwritten());
+                let message = Bytes { bytes, dispatch, _unwritten: unwritten };
                 let Some(outbox) = self.outboxes.get(&association) else { return };
                 // What is said to a connection that has ended meanwhile goes with it.
                 if !outbox.post(message) && !outbox.is_closed() {
@@ -374,6 +395,12 @@
                 eprintln!("steprelay: m3ua: client {} is lost", self.handle.config.caller_name(client));
                 self.inputs.push(Input::ClientClosed { client: client_id(client) });
             }
+            Effect::ClientAway(client) => {
+                self.inputs.push(Input::ClientAway { client: client_id(client), away: true });
+            }
+            Effect::ClientBack(client) => {
+                self.inputs.push(Input::ClientAway { client: client_id(client), away: false });
+            }
             Effect::Offer { client, call, set_up } => self.offer(client, call, set_up),
             Effect::Abandoned { client, call, cause } => {
                 let (client, call, cause) = (client_id(client), CallId(call.0), ReleaseCause(cause.0));
--- a/agent/src/front/m3ua/sockets.rs
+++ b/agent/src/front/m3ua/sockets.rs
@@ -14,7 +14,7 @@
 
 use super::{Bytes, Handle, Told};
 use crate::front::platform::servers::dial;
-use crate::ports::conn::{self, Inbox, Incoming, Split, Weight};
+use crate::ports::conn::{self, Inbox, Incoming, Part, Split, Weight};
 use crate::ports::{Input, LinkId};
 
 /// A message is whole this long after its first part.
@@ -67,19 +67,22 @@
     Ok(())
 }
 
-/// Writes what is posted, as much at once as there is.
+/// Writes what is posted, as much at once as there is and the connection takes.
 async fn write(stream: &TcpStream, inbox: &mut Inbox<Bytes>) -> io::Result<()> {
-    while let Some(mut first) = inbox.next().await {
-        let mut weight = first.weight();
-        let mut rest = Vec::new();
-        while let Some(more) = inbox.next_now() {
-            weight += more.weight();
-            first.bytes.extend(&more.bytes);
-            rest.push(more);
+    while let Some(first) = inbox.next().await {
+        stream.writable().await?;
+        let (mut bytes, mut parts, mut next) = (Vec::new(), Vec::new(), Some(first));
+        while let Some(message) = next {
+            if message.is_cancelled() {
+                inbox.written(message.weight());
+            } else {
+                bytes.extend(&message.bytes);
+                parts.push(Part { message, end: bytes.len() });
+            }
+            next = inbox.next_now();
         }
-        let written = conn::write_all(stream, &first.bytes).await;
-        inbox.written(weight);
-        written?;
+        inbox.put_back(parts.split_off(conn::write_taken(stream, &bytes, &parts).await?));
+        inbox.written(parts.iter().map(|part| part.message.weight()).sum());
     }
     Ok(())
 }
--- a/agent/src/front/platform/clients.rs
+++ b/agent/src/front/platform/clients.rs
@@ -3,7 +3,7 @@
 use std::cell::Cell;
 use std::io;
 use std::mem::MaybeUninit;
-use std::net::IpAddr;
+use std::net::{IpAddr, Shutdown};
 use std::ops::ControlFlow;
 use std::rc::Rc;
 
@@ -11,7 +11,7 @@
 use steprelay_core::{ClientId, Peer, ReleaseCause, Request, Verdict};
 use steprelay_decisions::{CallId, Micros};
 use tokio::net::TcpStream;
-use tokio::time::Duration;
+use tokio::time::{timeout, Duration};
 
 use super::message::{self, Message, Unreadable};
 use crate::ports::conn::{self, Incoming};
@@ -22,6 +22,10 @@
 /// A line is whole this long after its first part. Who sends half a one and waits is owed an end within 3 s.
 const WHOLE_WITHIN: Duration = Duration::from_millis(2000);
 
+/// A connection that is let go of is read on for so long: a caller that was writing learns of the end after a way
+/// through the network and its turn at reading.
+const READ_ON: Duration = Duration::from_millis(250);
+
 /// Serves one connection of a caller, the `number`th there was.
 pub async fn serve(stream: TcpStream, number: u64, shared: Shared) {
     let client = ClientId(number);
@@ -43,12 +47,19 @@
         ToClient::LetGo { inputs: seen } if inputs.get() != *seen || in_part.get() || unread(&stream) => {
             Ok(ControlFlow::Continue(()))
         }
-        ToClient::LetGo { .. } => Ok(ControlFlow::Break(())),
+        ToClient::LetGo { .. } | ToClient::Finish => Ok(ControlFlow::Break(())),
         _ => Err(io::ErrorKind::InvalidInput.into()),
     };
     let ended = tokio::select! {
-        ended = read(&mut incoming, client, &shared, &inputs) => ended,
-        ended = conn::write_posted(&stream, &shared.pool, &mut inbox, encode, left_out, |_| {}) => ended,
+        ended = read(&mut incoming, client, &shared, &inputs, true) => ended,
+        ended = conn::write_posted(&stream, &shared.pool, &mut inbox, encode, left_out, |_| {}) => {
+            // A connection that is closed with something unread is reset, and its last answers with it where
+            // they were not read yet. Whoever has sent a set-up by now sends it again elsewhere.
+            if ended.is_ok() && SockRef::from(&stream).shutdown(Shutdown::Write).is_ok() {
+                let _ = timeout(READ_ON, read(&mut incoming, client, &shared, &inputs, false)).await;
+            }
+            ended
+        }
         _ = cut.notified() => Ok(()),
     };
     if let Err(error) = ended {
@@ -67,16 +78,18 @@
     SockRef::from(stream).peek(&mut [MaybeUninit::uninit()]).is_ok_and(|waits| waits > 0)
 }
 
-/// Hands on what comes; `inputs` counts what the owner is told.
+/// Hands on what comes, set-ups only where they are still taken; `inputs` counts what the owner is told.
 async fn read(
     incoming: &mut Incoming<'_>,
     client: ClientId,
     shared: &Shared,
     inputs: &Cell<u64>,
+    set_ups: bool,
 ) -> io::Result<()> {
     while let Some(line) = incoming.next().await? {
         let came = shared.clock.now();
         match take(line, client, came, shared) {
+            Ok(Some(Input::Offer { .. } | Input::Unfit { .. })) if !set_ups => {}
             Ok(Some(input)) => {
                 inputs.set(inputs.get() + 1);
                 if shared.inputs.send(input).await.is_err() {
@@ -189,6 +202,6 @@
         ToClient::Passed(call) => message::write(buffer, "tested", *call, &[], Some(1), None),
         ToClient::NotPassed(call) => message::write(buffer, "tested", *call, &[], Some(0), None),
         // No message: it is left out, and heard of by that.
-        ToClient::LetGo { .. } => Err(io::ErrorKind::Unsupported.into()),
+        ToClient::LetGo { .. } | ToClient::Finish => Err(io::ErrorKind::Unsupported.into()),
     }
 }
--- a/agent/src/front/platform/servers.rs
+++ b/agent/src/front/platform/servers.rs
@@ -63,7 +63,7 @@
     let cut = inbox.cut();
     // A set-up that is too long in this form, which only one that came in another can be.
     let left_out = |line: &ToServer| match line {
-        ToServer::SetUp(set_up) => {
+        ToServer::SetUp(set_up, _) => {
             let (call, cause, report) = (set_up.call, ReleaseCause::PROTOCOL, Report::default());
             let input = Input::Ended { link, call, cause, note: Cause::Unproven, report };
             shared.inputs.try_send(input).map_err(|_| io::ErrorKind::BrokenPipe)?;
@@ -145,7 +145,7 @@
 
 fn encode(line: &ToServer, buffer: &mut Buffer, classes: &[String]) -> io::Result<()> {
     match line {
-        ToServer::SetUp(set_up) => {
+        ToServer::SetUp(set_up, _) => {
             let left = (set_up.wait / 1000).max(1).to_string();
             let class = classes.get(set_up.class).map_or("", String::as_str);
             let fields = [("class", class), ("left", &left), ("key", &set_up.number)];
--- a/agent/src/net/links.rs
+++ b/agent/src/net/links.rs
@@ -5,12 +5,13 @@
 //! Another follows then, since a server sends the releases that it wrote to a dead connection on the next
 //! that is opened. Where the first answers too, it stays: a release may be on its way on it.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 
 use steprelay_core::LinkLoss;
 use steprelay_decisions::{CallId, Micros, ServerId};
 
-use crate::ports::conn::Outbox;
+use crate::ports::conn::{Outbox, Weight};
+use crate::ports::dispatch::Dispatch;
 use crate::ports::{LinkId, ToServer, Way};
 
 const FIRST_PAUSE: Micros = 100_000;
@@ -78,7 +79,7 @@
     epoch: u64,
     outbox: Outbox<ToServer>,
     /// Set-ups that wait on it for an answer.
-    out: BTreeSet<CallId>,
+    out: BTreeMap<CallId, Dispatch>,
     heard: Micros,
     /// Since when it has owed a word, and the longest that lately took.
     owes: Option<Micros>,
@@ -93,7 +94,7 @@
         Conn {
             epoch,
             outbox,
-            out: BTreeSet::new(),
+            out: BTreeMap::new(),
             heard: now,
             owes: None,
             longest: 0,
@@ -103,20 +104,33 @@
     }
 
     fn post(&mut self, message: ToServer, now: Micros) -> bool {
-        match &message {
-            ToServer::SetUp(set_up) => {
-                self.out.insert(set_up.call);
-                self.owes.get_or_insert(now);
+        let out = match &message {
+            ToServer::SetUp(set_up, dispatch) => Some((set_up.call, dispatch.clone())),
+            // One that has not left needs no giving up.
+            ToServer::GiveUp(call) if self.out.remove(call).is_some_and(|dispatch| dispatch.cancel()) => {
+                return true;
             }
-            ToServer::Probe(_) => {
-                self.owes.get_or_insert(now);
-            }
-            ToServer::GiveUp(call) => {
-                self.out.remove(call);
-            }
-            ToServer::Release(..) | ToServer::Heard(_) | ToServer::Finish => {}
+            _ => None,
+        };
+        let owes = out.is_some() || matches!(message, ToServer::Probe(_));
+        let posted = self.outbox.post(message);
+        if posted && owes {
+            self.out.extend(out);
+            self.owes.get_or_insert(now);
         }
-        self.outbox.post(message)
+        posted
+    }
+
+    /// Takes back a set-up, unless a byte of it has left.
+    fn withdraw(&mut self, call: CallId) -> bool {
+        let queued = self.out.get(&call).is_some_and(|dispatch| !dispatch.has_begun() && dispatch.cancel());
+        queued && self.out.remove(&call).is_some()
+    }
+
+    /// The same for all of them.
+    fn take_queued(&mut self) -> Vec<CallId> {
+        let out: Vec<CallId> = self.out.keys().copied().collect();
+        out.into_iter().filter(|call| self.withdraw(*call)).collect()
     }
 
     /// Something came on it; returns whether that answers a set-up that waits.
@@ -130,7 +144,7 @@
             self.pause = Some(mean.map_or(pause, |mean| mean - mean / WORDS + pause / WORDS));
             self.word = now;
         }
-        let answers = about.is_some_and(|call| self.out.remove(&call));
+        let answers = about.is_some_and(|call| self.out.remove(&call).is_some());
         self.owes = (!self.out.is_empty()).then_some(now);
         answers
     }
@@ -163,7 +177,7 @@
 
     fn end(self) -> Vec<CallId> {
         self.outbox.cut();
-        self.out.into_iter().collect()
+        self.out.into_keys().collect()
     }
 }
 
@@ -187,6 +201,8 @@
     Down(Micros),
     /// What waits goes out when the connection is up, or is told as never sent when it fails.
     Dialling(u64, Vec<ToServer>),
+    /// It is up. What waits goes out once it is known which callers are still there.
+    Opening(Conn, Vec<ToServer>),
     Up(Conn),
 }
 
@@ -210,7 +226,7 @@
         self.relief = None;
         self.beat = None;
         let mut out = self.former.take().map(|former| former.conn.end()).unwrap_or_default();
-        if let State::Up(conn) = std::mem::replace(&mut self.state, next) {
+        if let State::Up(conn) | State::Opening(conn, _) = std::mem::replace(&mut self.state, next) {
             out.extend(conn.end());
         }
         out
@@ -249,6 +265,7 @@
     links: BTreeMap<ServerId, Link>,
     epochs: u64,
     pauses: Pauses,
+    opening: bool,
 }
 
 impl Links {
@@ -285,7 +302,7 @@
             let present = match &link.state {
                 State::Down(_) => None,
                 State::Dialling(epoch, _) => Some(*epoch),
-                State::Up(conn) => Some(conn.epoch),
+                State::Opening(conn, _) | State::Up(conn) => Some(conn.epoch),
             };
             let former = link.former.as_ref().map(|former| former.conn.epoch);
             [present, link.relief, former].contains(&Some(id.epoch))
@@ -332,16 +349,45 @@
                 let out = before.map(|former| former.conn.end()).unwrap_or_default();
                 (vec![first, id], out)
             }
-            State::Dialling(_, waiting) => {
-                for message in waiting {
-                    self.post(id.server, message, now);
+            State::Dialling(_, waiting) if !waiting.is_empty() => {
+                if let State::Up(conn) = std::mem::replace(&mut link.state, State::Down(now)) {
+                    link.state = State::Opening(conn, waiting);
+                    self.opening = true;
                 }
                 Default::default()
             }
-            State::Down(_) => Default::default(),
+            State::Dialling(..) | State::Opening(..) | State::Down(_) => Default::default(),
         }
     }
 
+    /// Whether what waited for a connection is about to go out.
+    pub fn opens(&self) -> bool {
+        self.opening
+    }
+
+    /// Lets what waited for connections that are up go out; returns the set-ups that they do not take.
+    pub fn open(&mut self, now: Micros) -> Vec<(ServerId, CallId)> {
+        let mut left = Vec::new();
+        if !std::mem::take(&mut self.opening) {
+            return left;
+        }
+        for (server, link) in &mut self.links {
+            match std::mem::replace(&mut link.state, State::Down(now)) {
+                State::Opening(mut conn, waiting) => {
+                    for message in waiting {
+                        let call = message.set_up();
+                        if !conn.post(message, now) {
+                            left.extend(call.map(|call| (*server, call)));
+                        }
+                    }
+                    link.state = State::Up(conn);
+                }
+                state => link.state = state,
+            }
+        }
+        left
+    }
+
     /// A connection has ended, or could not be had; returns the set-ups that may have run.
     pub fn lost(&mut self, id: LinkId, loss: LinkLoss, now: Micros) -> Vec<CallId> {
         let Some(link) = self.links.get_mut(&id.server) else { return Vec::new() };
@@ -426,17 +472,18 @@
     pub fn post(&mut self, server: ServerId, message: ToServer, now: Micros) -> bool {
         let Some(link) = self.links.get_mut(&server) else { return false };
         if let (ToServer::GiveUp(call), Some(former)) = (&message, &mut link.former) {
-            if former.conn.out.contains(call) {
+            if former.conn.out.contains_key(call) {
                 return former.conn.post(message, now);
             }
         }
         match &mut link.state {
             State::Up(conn) => conn.post(message, now),
-            State::Dialling(_, waiting) => {
+            State::Dialling(_, waiting) | State::Opening(_, waiting) => {
                 match message {
                     // Neither needs to arrive: the set-up has not left.
-                    ToServer::GiveUp(call) => waiting
-                        .retain(|waits| !matches!(waits, ToServer::SetUp(set_up) if set_up.call == call)),
+                    ToServer::GiveUp(call) => {
+                        self.withdraw(server, call);
+                    }
                     message => waiting.push(message),
                 }
                 true
@@ -445,6 +492,18 @@
         }
     }
 
+    /// Takes back a set-up, unless a byte of it has left.
+    pub fn withdraw(&mut self, server: ServerId, call: CallId) -> bool {
+        let Some(link) = self.links.get_mut(&server) else { return false };
+        if let State::Dialling(_, waiting) | State::Opening(_, waiting) = &mut link.state {
+            let place = waiting.iter().position(|message| message.set_up() == Some(call));
+            return place.map(|place| waiting.remove(place)).is_some();
+        }
+        let former = link.former.as_mut().map(|former| &mut former.conn);
+        let present = if let State::Up(conn) = &mut link.state { Some(conn) } else { None };
+        former.into_iter().chain(present).any(|conn| conn.withdraw(call))
+    }
+
     /// Puts a test on one connection.
     pub fn test(&mut self, id: LinkId, call: CallId, now: Micros) -> bool {
         let Some(link) = self.links.get_mut(&id.server) else { return false };
@@ -457,12 +516,17 @@
         }
     }
 
-    /// Takes back the set-ups that still wait for a connection to a server that takes nothing new.
+    /// Takes back the set-ups to a server that takes nothing new of which no byte has left: they wait for a
+    /// connection, or for one that takes nothing now.
     pub fn take_waiting(&mut self, server: ServerId) -> Vec<CallId> {
-        match self.links.get_mut(&server).map(|link| &mut link.state) {
-            Some(State::Dialling(_, waiting)) => set_ups(std::mem::take(waiting)),
-            _ => Vec::new(),
-        }
+        let Some(link) = self.links.get_mut(&server) else { return Vec::new() };
+        let mut waited = link.former.as_mut().map(|former| former.conn.take_queued()).unwrap_or_default();
+        waited.extend(match &mut link.state {
+            State::Dialling(_, waiting) | State::Opening(_, waiting) => set_ups(waiting),
+            State::Up(conn) => conn.take_queued(),
+            State::Down(_) => Vec::new(),
+        });
+        waited
     }
 
     /// Servers that have been out of reach for too long; each is named once.
@@ -477,190 +541,11 @@
     }
 }
 
-fn set_ups(waiting: Vec<ToServer>) -> Vec<CallId> {
-    let calls = waiting.into_iter().filter_map(|message| match message {
-        ToServer::SetUp(set_up) => Some(set_up.call),
-        _ => None,
-    });
-    calls.collect()
+/// Takes the set-ups out of what waits.
+fn set_ups(waiting: &mut Vec<ToServer>) -> Vec<CallId> {
+    let taken = waiting.extract_if(.., |message| message.is_attempt());
+    taken.filter_map(|message| message.set_up()).collect()
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-    use crate::ports::conn;
-    use steprelay_core::SetUp;
-
-    const MS: Micros = 1_000;
-    const AT: ServerId = ServerId(1);
-
-    fn set_up(call: u64) -> ToServer {
-        let (number, description) = ("".into(), "".into());
-        ToServer::SetUp(SetUp { call: CallId(call), class: 0, number, description, wait: 0 })
-    }
-
-    /// A server with one connection that is up, among servers that answer at once.
-    fn links() -> Links {
-        let mut links = Links { pauses: Pauses(Some((MS, 0))), ..Links::default() };
-        links.listed(AT, Way::Platform(([127, 0, 0, 1], 1).into()), 0);
-        let (id, _) = links.due(0)[0];
-        links.up(id, conn::channel().0, 0);
-        links
-    }
-
-    /// Tests are work for servers, and those of all call agents add up: in a minute, of a connection that
-    /// brings a word every so many milliseconds, and then goes quiet.
-    #[test]
-    fn a_connection_on_which_calls_stand_is_tested_once_its_quiet_tells_something() {
-        for (every, while_it_speaks, first_after) in [(200, 0, 1_000), (600, 0, 1_800), (5_000, 12, 3_880)] {
-            let mut links = Links::default();
-            links.listed(AT, Way::Platform(([127, 0, 0, 1], 1).into()), 0);
-            let (id, _) = links.due(0)[0];
-            let (outbox, _inbox) = conn::channel();
-            links.up(id, outbox, 0);
-            let (mut tests, mut after) = (0, None);
-            for ms in 1..=70_000 {
-                let (now, speaks) = (ms * MS, ms <= 60_000);
-                if speaks && ms % every == 0 {
-                    links.heard(id, Some(CallId(9)), false, now);
-                }
-                if after.is_some() {
-                    break;
-                }
-                assert!(links.watch(now, |_| false).is_empty(), "nothing stands there");
-                let found = links.watch(now, |_| true);
-                for found in found {
-                    assert!(matches!(found, Watch::Test(tested) if tested == id));
-                    assert!(links.test(id, CallId(ms as u64), now));
-                    match speaks {
-                        true => links.heard(id, None, true, now + 20 * MS),
-                        false => after = Some(ms - 60_000),
-                    }
-                    tests += u64::from(speaks);
-                }
-            }
-            assert_eq!((tests, after), (while_it_speaks, Some(first_after)), "every {every} ms");
-        }
-    }
-
-    /// Whatever a connection was used to: a test, its patience and the time without proof stay within the
-    /// limit for a release.
-    #[test]
-    fn a_quiet_connection_is_given_up_within_the_limit_for_a_release() {
-        for (longest, pause) in [(0, 1), (0, 60_000), (500, 60_000), (5_000, 10), (5_000, 60_000)] {
-            let (longest, pause) = (longest * MS, Some(pause * MS));
-            let conn = Conn { longest, pause, ..Conn::new(1, conn::channel().0, 0) };
-            let quiet =
-                (0..8_000).find(|ms| conn.is_quiet(Pauses::default(), ms * MS)).expect("at last") * MS;
-            assert!(
-                quiet >= SOON_QUIET && quiet + conn.patience(Pauses::default()) + NO_PROOF <= RELEASED + MS,
-                "{quiet}"
-            );
-        }
-    }
-
-    fn relief(links: &mut Links, now: Micros) -> Option<LinkId> {
-        links.watch(now, |_| false).into_iter().find_map(|found| match found {
-            Watch::Relieve(id, _) => Some(id),
-            _ => None,
-        })
-    }
-
-    #[test]
-    fn a_silent_connection_is_relieved_as_often_as_it_takes() {
-        let (mut links, mut now) = (links(), 0);
-        for round in 1..=3 {
-            // One may be silent from its start; the next follows without waiting long.
-            links.post(AT, set_up(round), now);
-            assert!(relief(&mut links, now + SOON - MS).is_none());
-            now += RELIEF_PAUSE;
-            let second = relief(&mut links, now).expect("the connection has said nothing");
-            assert!(relief(&mut links, now + MS).is_none(), "one at a time");
-            assert_eq!(links.up(second, conn::channel().0, now).0.len(), 2, "both are tested");
-            now += MS;
-            links.heard(second, None, true, now);
-            now += GRACE;
-            let found = links.watch(now, |_| false);
-            let [Watch::Reset(AT, calls), Watch::Relieve(third, _)] = &found[..] else {
-                panic!("the first is closed, and one more opened");
-            };
-            assert_eq!(*calls, [CallId(round)]);
-            links.up(*third, conn::channel().0, now);
-            now += MS;
-            links.heard(second, None, true, now);
-            links.heard(*third, None, true, now);
-            assert!(links.watch(now + GRACE, |_| false).is_empty(), "both are well and stay");
-        }
-    }
-
-    #[test]
-    fn a_server_that_is_used_to_long_pauses_is_given_time() {
-        let mut links = links();
-        let first = LinkId { server: AT, epoch: 1 };
-        links.post(AT, set_up(1), 0);
-        links.heard(first, Some(CallId(1)), false, 400 * MS);
-        links.post(AT, set_up(2), 400 * MS);
-        assert!(relief(&mut links, 1_400 * MS).is_none());
-        assert!(relief(&mut links, 1_700 * MS).is_some());
-    }
-
-    /// One that takes 400 ms every other time, and is asked every 5 s among others that answer at once, is no
-    /// more silent than they are: what it took counts however long ago it was.
-    #[test]
-    fn a_slow_server_among_quick_ones_is_known_as_slow() {
-        let (mut links, mut now) = (links(), 0);
-        let (slow, quick) = (LinkId { server: AT, epoch: 1 }, ServerId(2));
-        links.listed(quick, Way::Platform(([127, 0, 0, 1], 2).into()), now);
-        let (other, _) = links.due(now)[0];
-        links.up(other, conn::channel().0, now);
-        for call in 1..=10 {
-            now += 4_000 * MS;
-            for number in 0..20 {
-                let asked = now + number * 50 * MS;
-                links.post(quick, set_up(100 + call), asked);
-                links.heard(other, Some(CallId(100 + call)), false, asked + MS);
-            }
-            now += 1_000 * MS;
-            links.post(AT, set_up(call), now);
-            let pause = if call % 2 == 1 { 400 } else { 20 };
-            if call > 1 {
-                assert!(relief(&mut links, now + (pause - 1) * MS).is_none(), "call {call}");
-            }
-            links.heard(slow, Some(CallId(call)), false, now + pause * MS);
-        }
-        links.post(AT, set_up(11), now + 1_000 * MS);
-        assert!(relief(&mut links, now + 2_200 * MS).is_some(), "but three times that is silence");
-    }
-
-    /// Servers that are asked every 5 s and answer after 150 to 350 ms are not silent, and neither is another
-    /// one when it is asked first. Remembered by time alone, each was taken for silent every time.
-    #[test]
-    fn servers_that_are_asked_seldom_are_given_the_time_that_all_take() {
-        let mut links = Links { pauses: Pauses::default(), ..links() };
-        let first = LinkId { server: AT, epoch: 1 };
-        let pauses = [150, 350, 200, 300].map(|pause: Micros| pause * MS);
-        let mut now = 0;
-        for (call, pause) in (1..).zip(pauses.into_iter().cycle().take(20)) {
-            now += 5_000 * MS;
-            links.post(AT, set_up(call), now);
-            assert!(relief(&mut links, now + pause - MS).is_none(), "call {call}");
-            links.heard(first, Some(CallId(call)), false, now + pause);
-        }
-        let other = ServerId(2);
-        links.listed(other, Way::Platform(([127, 0, 0, 1], 2).into()), now);
-        let (second, _) = links.due(now)[0];
-        links.up(second, conn::channel().0, now);
-        links.post(other, set_up(99), now);
-        assert!(relief(&mut links, now + 350 * MS).is_none());
-        assert!(relief(&mut links, now + 900 * MS).is_some(), "a rare pause is one that is too long");
-    }
-
-    #[test]
-    fn a_second_connection_that_cannot_be_had_ends_the_first() {
-        let mut links = links();
-        links.post(AT, set_up(1), 0);
-        let second = relief(&mut links, SOON).expect("silent");
-        assert_eq!(links.lost(second, LinkLoss::Unanswered, SOON), [CallId(1)], "it may have run");
-        assert!(!links.post(AT, set_up(2), SOON), "nothing goes on the first any more");
-    }
-}
+mod tests;
--- /dev/null
+++ b/agent/src/net/links/tests.rs
@@ -0,0 +1,185 @@
+//! The connections to servers by a clock that the test moves, without sockets.
+
+use super::*;
+use crate::ports::conn;
+use steprelay_core::SetUp;
+
+const MS: Micros = 1_000;
+const AT: ServerId = ServerId(1);
+
+/// The end of a connection that takes what is posted.
+fn open() -> Outbox<ToServer> {
+    let (outbox, inbox) = conn::channel();
+    std::mem::forget(inbox);
+    outbox
+}
+
+fn set_up(call: u64) -> ToServer {
+    let (number, description) = ("".into(), "".into());
+    let set_up = SetUp { call: CallId(call), class: 0, number, description, wait: 0 };
+    ToServer::SetUp(set_up, Dispatch::default())
+}
+
+/// A server with one connection that is up, among servers that answer at once.
+fn links() -> Links {
+    let mut links = Links { pauses: Pauses(Some((MS, 0))), ..Links::default() };
+    links.listed(AT, Way::Platform(([127, 0, 0, 1], 1).into()), 0);
+    let (id, _) = links.due(0)[0];
+    links.up(id, open(), 0);
+    links
+}
+
+/// Tests are work for servers, and those of all call agents add up: in a minute, of a connection that
+/// brings a word every so many milliseconds, and then goes quiet.
+#[test]
+fn a_connection_on_which_calls_stand_is_tested_once_its_quiet_tells_something() {
+    for (every, while_it_speaks, first_after) in [(200, 0, 1_000), (600, 0, 1_800), (5_000, 12, 3_880)] {
+        let mut links = Links::default();
+        links.listed(AT, Way::Platform(([127, 0, 0, 1], 1).into()), 0);
+        let (id, _) = links.due(0)[0];
+        let (outbox, _inbox) = conn::channel();
+        links.up(id, outbox, 0);
+        let (mut tests, mut after) = (0, None);
+        for ms in 1..=70_000 {
+            let (now, speaks) = (ms * MS, ms <= 60_000);
+            if speaks && ms % every == 0 {
+                links.heard(id, Some(CallId(9)), false, now);
+            }
+            if after.is_some() {
+                break;
+            }
+            assert!(links.watch(now, |_| false).is_empty(), "nothing stands there");
+            let found = links.watch(now, |_| true);
+            for found in found {
+                assert!(matches!(found, Watch::Test(tested) if tested == id));
+                assert!(links.test(id, CallId(ms as u64), now));
+                match speaks {
+                    true => links.heard(id, None, true, now + 20 * MS),
+                    false => after = Some(ms - 60_000),
+                }
+                tests += u64::from(speaks);
+            }
+        }
+        assert_eq!((tests, after), (while_it_speaks, Some(first_after)), "every {every} ms");
+    }
+}
+
+/// Whatever a connection was used to: a test, its patience and the time without proof stay within the
+/// limit for a release.
+#[test]
+fn a_quiet_connection_is_given_up_within_the_limit_for_a_release() {
+    for (longest, pause) in [(0, 1), (0, 60_000), (500, 60_000), (5_000, 10), (5_000, 60_000)] {
+        let (longest, pause) = (longest * MS, Some(pause * MS));
+        let conn = Conn { longest, pause, ..Conn::new(1, open(), 0) };
+        let quiet = (0..8_000).find(|ms| conn.is_quiet(Pauses::default(), ms * MS)).expect("at last") * MS;
+        assert!(
+            quiet >= SOON_QUIET && quiet + conn.patience(Pauses::default()) + NO_PROOF <= RELEASED + MS,
+            "{quiet}"
+        );
+    }
+}
+
+fn relief(links: &mut Links, now: Micros) -> Option<LinkId> {
+    links.watch(now, |_| false).into_iter().find_map(|found| match found {
+        Watch::Relieve(id, _) => Some(id),
+        _ => None,
+    })
+}
+
+#[test]
+fn a_silent_connection_is_relieved_as_often_as_it_takes() {
+    let (mut links, mut now) = (links(), 0);
+    for round in 1..=3 {
+        // One may be silent from its start; the next follows without waiting long.
+        links.post(AT, set_up(round), now);
+        assert!(relief(&mut links, now + SOON - MS).is_none());
+        now += RELIEF_PAUSE;
+        let second = relief(&mut links, now).expect("the connection has said nothing");
+        assert!(relief(&mut links, now + MS).is_none(), "one at a time");
+        assert_eq!(links.up(second, open(), now).0.len(), 2, "both are tested");
+        now += MS;
+        links.heard(second, None, true, now);
+        now += GRACE;
+        let found = links.watch(now, |_| false);
+        let [Watch::Reset(AT, calls), Watch::Relieve(third, _)] = &found[..] else {
+            panic!("the first is closed, and one more opened");
+        };
+        assert_eq!(*calls, [CallId(round)]);
+        links.up(*third, open(), now);
+        now += MS;
+        links.heard(second, None, true, now);
+        links.heard(*third, None, true, now);
+        assert!(links.watch(now + GRACE, |_| false).is_empty(), "both are well and stay");
+    }
+}
+
+#[test]
+fn a_server_that_is_used_to_long_pauses_is_given_time() {
+    let mut links = links();
+    let first = LinkId { server: AT, epoch: 1 };
+    links.post(AT, set_up(1), 0);
+    links.heard(first, Some(CallId(1)), false, 400 * MS);
+    links.post(AT, set_up(2), 400 * MS);
+    assert!(relief(&mut links, 1_400 * MS).is_none());
+    assert!(relief(&mut links, 1_700 * MS).is_some());
+}
+
+/// One that takes 400 ms every other time, and is asked every 5 s among others that answer at once, is no
+/// more silent than they are: what it took counts however long ago it was.
+#[test]
+fn a_slow_server_among_quick_ones_is_known_as_slow() {
+    let (mut links, mut now) = (links(), 0);
+    let (slow, quick) = (LinkId { server: AT, epoch: 1 }, ServerId(2));
+    links.listed(quick, Way::Platform(([127, 0, 0, 1], 2).into()), now);
+    let (other, _) = links.due(now)[0];
+    links.up(other, open(), now);
+    for call in 1..=10 {
+        now += 4_000 * MS;
+        for number in 0..20 {
+            let asked = now + number * 50 * MS;
+            links.post(quick, set_up(100 + call), asked);
+            links.heard(other, Some(CallId(100 + call)), false, asked + MS);
+        }
+        now += 1_000 * MS;
+        links.post(AT, set_up(call), now);
+        let pause = if call % 2 == 1 { 400 } else { 20 };
+        if call > 1 {
+            assert!(relief(&mut links, now + (pause - 1) * MS).is_none(), "call {call}");
+        }
+        links.heard(slow, Some(CallId(call)), false, now + pause * MS);
+    }
+    links.post(AT, set_up(11), now + 1_000 * MS);
+    assert!(relief(&mut links, now + 2_200 * MS).is_some(), "but three times that is silence");
+}
+
+/// Servers that are asked every 5 s and answer after 150 to 350 ms are not silent, and neither is another
+/// one when it is asked first. Remembered by time alone, each was taken for silent every time.
+#[test]
+fn servers_that_are_asked_seldom_are_given_the_time_that_all_take() {
+    let mut links = Links { pauses: Pauses::default(), ..links() };
+    let first = LinkId { server: AT, epoch: 1 };
+    let pauses = [150, 350, 200, 300].map(|pause: Micros| pause * MS);
+    let mut now = 0;
+    for (call, pause) in (1..).zip(pauses.into_iter().cycle().take(20)) {
+        now += 5_000 * MS;
+        links.post(AT, set_up(call), now);
+        assert!(relief(&mut links, now + pause - MS).is_none(), "call {call}");
+        links.heard(first, Some(CallId(call)), false, now + pause);
+    }
+    let other = ServerId(2);
+    links.listed(other, Way::Platform(([127, 0, 0, 1], 2).into()), now);
+    let (second, _) = links.due(now)[0];
+    links.up(second, open(), now);
+    links.post(other, set_up(99), now);
+    assert!(relief(&mut links, now + 350 * MS).is_none());
+    assert!(relief(&mut links, now + 900 * MS).is_some(), "a rare pause is one that is too long");
+}
+
+#[test]
+fn a_second_connection_that_cannot_be_had_ends_the_first() {
+    let mut links = links();
+    links.post(AT, set_up(1), 0);
+    let second = relief(&mut links, SOON).expect("silent");
+    assert_eq!(links.lost(second, LinkLoss::Unanswered, SOON), [CallId(1)], "it may have run");
+    assert!(!links.post(AT, set_up(2), SOON), "nothing goes on the first any more");
+}
--- a/agent/src/net/owner.rs
+++ b/agent/src/net/owner.rs
@@ -8,12 +8,14 @@
 use steprelay_core::{Breach, ClientId, Core, Effect, LinkLoss, Promise, ReleaseCause, Source, Verdict};
 use steprelay_decisions::{CallId, Entry, ListKind, Micros, Readiness, ServerId};
 use tokio::sync::mpsc;
+use tokio::task::yield_now;
 use tokio::time::{sleep, sleep_until, Duration};
 
 use super::copies::{Copies, CopiesEnd};
 use super::links::{Links, Watch};
 use crate::ports::conn::Outbox;
 use crate::ports::copies;
+use crate::ports::dispatch::Dispatch;
 use crate::ports::{Input, LinkId, OnDuty, Shared, Snapshot, ToClient, ToServer, Way};
 use crate::trace;
 
@@ -24,8 +26,18 @@
 const REPLACED_STAYS: Micros = 200_000;
 /// It looks so often whether all is answered.
 const LOOK: Micros = 20_000;
-/// Answers get this long to leave once all are given.
-const FLUSH: Micros = 400_000;
+/// Callers get this long to close their side once all is answered.
+const CLOSING: Micros = 400_000;
+/// One that is told to stop is killed 0.7 s after the longest deadline, which counts as so much at least. Until
+/// nearly then, answers leave as their callers read them.
+const LEAST_DEADLINE: Micros = 3_000_000;
+const BEFORE_KILL: Micros = 500_000;
+
+/// Turns of the runtime in which what has arrived reaches the owner: in the first the sockets are looked at, in
+/// the next their tasks read, in the third that of a front hands it on. While more comes it goes on, but not
+/// for ever.
+const LEAST_TURNS: usize = 3;
+const MOST_TURNS: usize = 12;
 
 /// It serves once each server listed at the start was dialled with some end, and after this in any case.
 const READY_WITHIN: Micros = 1_000_000;
@@ -116,7 +128,8 @@
             self.look_at_copies();
             self.carry_out();
             let now = self.shared.clock.now();
-            if self.is_done(now) {
+            // What comes in the moment of leaving is taken all the same.
+            if self.is_done(now) && !self.settle(&mut queue).await {
                 break;
             }
             let starting = self.core.duty().state() == State::Starting;
@@ -132,9 +145,14 @@
                 },
                 _ = sleep_until(wake) => {}
             }
+            self.drain(&mut queue);
+            let now = self.shared.clock.now();
+            if self.core.sends() || self.links.opens() || self.core.next_wake().is_some_and(|at| at <= now) {
+                self.settle(&mut queue).await;
+            }
             self.core.wake(self.shared.clock.now());
         }
-        self.flush().await;
+        self.flush(&mut queue).await;
         let counts = self.core.counts();
         eprintln!(
             "steprelay: stopped; offered {}, stood {}, refused {}, failed {}, gone {}, stand {}, breaches {}",
@@ -148,6 +166,33 @@
         );
     }
 
+    /// Takes in what waits, as far as it waited; whether there was any.
+    fn drain(&mut self, queue: &mut mpsc::Receiver<Input>) -> bool {
+        let waits = queue.len();
+        for _ in 0..waits {
+            let Ok(input) = queue.try_recv() else { break };
+            self.take(input);
+        }
+        waits > 0
+    }
+
+    /// Takes in all that has arrived at this machine by now, before anything is sent or a timer is heeded:
+    /// where a caller has gone, or a server has answered, what follows from that comes first. Returns whether
+    /// there was any.
+    async fn settle(&mut self, queue: &mut mpsc::Receiver<Input>) -> bool {
+        let mut any = false;
+        for turn in 1..=MOST_TURNS {
+            // The sockets are looked at before this resumes, and their tasks run before it resumes again.
+            yield_now().await;
+            let more = self.drain(queue);
+            any |= more;
+            if turn >= LEAST_TURNS && !more {
+                break;
+            }
+        }
+        any
+    }
+
     /// Whether it was told to stop and nothing is left to do. One that was replaced stays while callers keep
     /// their connections.
     fn is_done(&self, now: Micros) -> bool {
@@ -161,12 +206,31 @@
         now >= since + REPLACED_STAYS && self.core.connections() == 0
     }
 
-    async fn flush(&self) {
-        let until = self.shared.clock.now() + FLUSH;
-        let waits =
-            || self.shared.unwritten.get() > 0 || self.clients.values().any(|outbox| !outbox.is_flushed());
-        while waits() && self.shared.clock.now() < until {
+    /// Lets the last answers leave, and ends the callers' connections behind them. What ends calls is taken in
+    /// until each caller has closed its side, too.
+    async fn flush(&mut self, queue: &mut mpsc::Receiver<Input>) {
+        let closed_by = self.shared.clock.now() + CLOSING;
+        let longest = self.shared.site.deadlines.iter().copied().max().unwrap_or_default();
+        let killed = self.stopping.unwrap_or_default() + longest.max(LEAST_DEADLINE) + BEFORE_KILL;
+        let callers = |owner: &Self| -> Vec<_> {
+            let callers = owner.clients.iter().filter(|(client, _)| !client.is_bound());
+            callers.map(|(_, outbox)| outbox.clone()).collect()
+        };
+        for outbox in callers(self) {
+            outbox.post(ToClient::Finish);
+        }
+        let waits = |owner: &Self| {
+            owner.shared.unwritten.get() > 0 || owner.clients.values().any(|outbox| !outbox.is_flushed())
+        };
+        loop {
+            let now = self.shared.clock.now();
+            let open = callers(self).iter().any(|outbox| !outbox.is_closed());
+            if !(waits(self) && now < killed.max(closed_by) || open && now < closed_by) {
+                break;
+            }
             sleep(Duration::from_millis(5)).await;
+            self.drain(queue);
+            self.carry_out();
         }
     }
 
@@ -185,6 +249,7 @@
                 self.clients.remove(&client);
                 self.core.client_closed(now, client);
             }
+            Input::ClientAway { client, away } => self.core.client_away(client, away),
             Input::Offer { client, request } => self.core.offer(now, client, request),
             Input::Unfit { client, call, class } => self.core.offer_unfit(client, call, class),
             Input::ClientEnded { client, call, cause } => {
@@ -347,6 +412,9 @@
 
     fn keep_links(&mut self) {
         let now = self.shared.clock.now();
+        for (server, call) in self.links.open(now) {
+            self.core.not_sent(now, server, call);
+        }
         for (link, way) in self.links.due(now) {
             (self.dial)(link, way);
         }
@@ -511,13 +579,20 @@
         match effect {
             Effect::SetUp { server, set_up } => {
                 let call = set_up.call;
-                if !self.links.post(server, ToServer::SetUp(set_up), now) {
+                // Its server may have been told to drain since this was decided.
+                let message = ToServer::SetUp(set_up, Dispatch::default());
+                if !self.core.is_ready(server) || !self.links.post(server, message, now) {
                     self.core.not_sent(now, server, call);
                 }
             }
             Effect::GiveUp { server, call } => {
                 self.links.post(server, ToServer::GiveUp(call), now);
             }
+            Effect::Withdraw { server, call } => {
+                if self.links.withdraw(server, call) {
+                    self.core.not_sent(now, server, call);
+                }
+            }
             Effect::Release { server, call, cause } => {
                 self.links.post(server, ToServer::Release(call, cause), now);
             }
@@ -568,183 +643,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-    use crate::ports::clock::Clock;
-    use crate::ports::conn::{self, Inbox};
-    use crate::ports::copies::Lease;
-    use std::sync::Arc;
-    use steprelay_core::{Bounds, Request};
-    use steprelay_decisions::{Cause, Report, Settings};
-    use steprelay_settings::Site;
-
-    const SERVER: ServerId = ServerId(1);
-    const CALL: CallId = CallId(7);
-
-    /// An owner with one caller and one server, whose connections the test holds; the call was made.
-    fn with_call() -> (Owner, Inbox<ToClient>, LinkId, Inbox<ToServer>) {
-        let class = steprelay_decisions::Class { aim: 1_000_000, repeatable: true, ..Default::default() };
-        let decisions = Settings { group_size: 1, classes: vec![class], ..Settings::default() };
-        let site = Site { decisions, class_names: vec!["standard-check".into()], ..Site::default() };
-        let shared = Shared {
-            clock: Clock::start(),
-            pool: Default::default(),
-            site: Rc::new(site.clone()),
-            inputs: mpsc::channel(1).0,
-            unreadable: Rc::default(),
-            calls: Rc::default(),
-            unwritten: Rc::default(),
-            tallies: Rc::default(),
-            fleet: Rc::default(),
-            copies: Rc::default(),
-            heard_later: false,
-        };
-        let now = shared.clock.now();
-        let core = Core::new(site, Bounds { connections: 8, connections_of_one: 8, bytes: 1 << 20 }, 7, now);
-        let mut owner = Owner::new(core, shared, Rc::new(|_, _| {}));
-        let way = Way::Platform(([127, 0, 0, 1], 1).into());
-        let entry = Entry { server: SERVER, started: None, number: 0, state: Readiness::Ready };
-        owner.listed(Source::Board, ListKind::All, vec![(entry, way)]);
-        owner.keep_links();
-        let (link, client) = (LinkId { server: SERVER, epoch: 1 }, ClientId(1));
-        let (outbox, to_server) = conn::channel();
-        owner.take(Input::LinkUp { link, outbox });
-        let (outbox, inbox) = conn::channel();
-        owner.take(Input::ClientOpened { client, peer: None, outbox });
-        let request = Request {
-            call: CALL,
-            class: 0,
-            tenant: 0,
-            dest: None,
-            number: "".into(),
-            description: "v=0".into(),
-            came: now,
-            left: 5_000_000,
-            was_cut: false,
-        };
-        owner.take(Input::Offer { client, request });
-        owner.carry_out();
-        (owner, inbox, link, to_server)
-    }
-
-    fn ended(link: LinkId) -> Input {
-        let (cause, note, report) = (ReleaseCause::NORMAL, Cause::Untold, Report::default());
-        Input::Ended { link, call: CALL, cause, note, report }
-    }
-
-    #[test]
-    fn a_release_is_passed_on_though_its_connection_was_just_let_go() {
-        let (mut owner, mut inbox, link, _to_server) = with_call();
-        owner.take(Input::Answered { link, call: CALL, description: "v=1".into() });
-        owner.carry_out();
-        assert!(matches!(inbox.next_now(), Some(ToClient::Answer { call: CALL, .. })));
-        owner.take(ended(LinkId { epoch: 99, ..link }));
-        owner.carry_out();
-        assert!(matches!(inbox.next_now(), Some(ToClient::Released { call: CALL, .. })));
-        assert_eq!(owner.core.standing(), 0);
-    }
-
-    #[test]
-    fn what_such_a_connection_says_of_a_set_up_settles_nothing() {
-        let (mut owner, mut inbox, link, _to_server) = with_call();
-        owner.take(ended(LinkId { epoch: 99, ..link }));
-        owner.carry_out();
-        assert!(inbox.next_now().is_none());
-        assert_eq!(owner.core.unanswered(), 1, "its attempt is out on another connection");
-    }
-
-    /// The same, where promises are copied: with the ends that whoever copies them has.
-    fn with_copies() -> (Owner, Inbox<ToClient>, LinkId, Inbox<ToServer>, Arc<Lease>) {
-        let (mut owner, inbox, link, to_server) = with_call();
-        let (notes, noted) = mpsc::channel(64);
-        // Kept for as long as the owner: a closed one takes no notes.
-        std::mem::forget(noted);
-        // Of a second ago: a lease may have run out by now.
-        let started = std::time::Instant::now().checked_sub(std::time::Duration::from_secs(1));
-        let lease = Arc::new(Lease::new(started.expect("the machine runs for longer")));
-        let end = CopiesEnd { notes, lease: lease.clone(), after_copies: true, refuse_short: false };
-        owner.copy(end);
-        (owner, inbox, link, to_server, lease)
-    }
-
-    fn hears(owner: &mut Owner, news: News) {
-        owner.take(Input::Copies(news));
-        owner.look_at_copies();
-        owner.carry_out();
-    }
-
-    fn heard(to_server: &mut Inbox<ToServer>) -> usize {
-        std::iter::from_fn(|| to_server.next_now()).filter(|word| matches!(word, ToServer::Heard(_))).count()
-    }
-
-    #[test]
-    fn a_caller_hears_that_its_call_stands_once_others_know_and_a_server_that_its_release_was_heard() {
-        let (mut owner, mut inbox, link, mut to_server, _) = with_copies();
-        hears(&mut owner, News::Short(false));
-        owner.take(Input::Answered { link, call: CALL, description: "v=1".into() });
-        owner.carry_out();
-        assert!(inbox.next_now().is_none(), "nobody else knows that it stands");
-        hears(&mut owner, News::Covered(1));
-        assert!(matches!(inbox.next_now(), Some(ToClient::Answer { call: CALL, .. })));
-        owner.take(ended(link));
-        owner.carry_out();
-        owner.look_at_copies();
-        assert!(matches!(inbox.next_now(), Some(ToClient::Released { call: CALL, .. })));
-        assert_eq!(heard(&mut to_server), 0, "its server would not say it again");
-        hears(&mut owner, News::Covered(2));
-        assert_eq!(heard(&mut to_server), 1);
-    }
-
-    #[test]
-    fn nobody_waits_for_others_that_are_not_there_nor_past_its_time() {
-        let (mut owner, mut inbox, link, _to_server, _) = with_copies();
-        owner.take(Input::Answered { link, call: CALL, description: "v=1".into() });
-        owner.carry_out();
-        assert!(matches!(inbox.next_now(), Some(ToClient::Answer { call: CALL, .. })), "too few are there");
-        assert_eq!(owner.copies.as_ref().map(|copies| copies.uncopied), Some(1));
-        // In doubt, until its caller would give up: then it hears that it failed, and its server that it is
-        // over.
-        let (mut owner, mut inbox, link, mut to_server, lease) = with_copies();
-        lease.set(1, 0);
-        owner.look_at_copies();
-        owner.take(Input::Answered { link, call: CALL, description: "v=1".into() });
-        owner.carry_out();
-        let late = owner.shared.clock.now() + 60_000_000;
-        let given_up = owner.copies.as_mut().map(|copies| copies.given_up(late)).unwrap_or_default();
-        assert!(matches!(given_up[..], [Effect::Answer { call: CALL, .. }]) && inbox.next_now().is_none());
-        owner.give_up(late, given_up);
-        owner.carry_out();
-        assert!(matches!(inbox.next_now(), Some(ToClient::Final { call: CALL, verdict: Verdict::Failed })));
-        let ends = |word: &ToServer| matches!(word, ToServer::Release(CALL, _));
-        assert_eq!(std::iter::from_fn(|| to_server.next_now()).filter(ends).count(), 1);
-        assert_eq!(owner.core.standing(), 0);
-    }
-
-    #[test]
-    fn an_answer_of_before_waits_for_the_lease_and_is_another_one_where_it_is_lost() {
-        for succeeded in [false, true] {
-            let (mut owner, mut inbox, link, _to_server, lease) = with_copies();
-            // One that ran out long ago, and nothing that waits to be covered.
-            lease.set(1, 0);
-            owner.look_at_copies();
-            owner.take(Input::Answered { link, call: CALL, description: "v=1".into() });
-            owner.carry_out();
-            hears(&mut owner, News::Covered(1));
-            assert!(inbox.next_now().is_none(), "another may have ended it");
-            // What is known of a succession goes before the lease that follows it.
-            lease.set(60_000, u64::from(succeeded));
-            owner.look_at_copies();
-            if succeeded {
-                assert!(inbox.next_now().is_none());
-                hears(&mut owner, News::Renounce([CALL.0].into()));
-                assert!(matches!(
-                    inbox.next_now(),
-                    Some(ToClient::Final { call: CALL, verdict: Verdict::Failed })
-                ));
-            } else {
-                assert!(matches!(inbox.next_now(), Some(ToClient::Answer { call: CALL, .. })));
-            }
-            assert!(inbox.next_now().is_none(), "once");
-        }
-    }
-}
+mod tests;
--- /dev/null
+++ b/agent/src/net/owner/tests.rs
@@ -0,0 +1,180 @@
+//! The owner with connections that the test holds.
+
+use super::*;
+use crate::ports::clock::Clock;
+use crate::ports::conn::{self, Inbox};
+use crate::ports::copies::Lease;
+use std::sync::Arc;
+use steprelay_core::{Bounds, Request};
+use steprelay_decisions::{Cause, Report, Settings};
+use steprelay_settings::Site;
+
+const SERVER: ServerId = ServerId(1);
+const CALL: CallId = CallId(7);
+
+/// An owner with one caller and one server, whose connections the test holds; the call was made.
+fn with_call() -> (Owner, Inbox<ToClient>, LinkId, Inbox<ToServer>) {
+    let class = steprelay_decisions::Class { aim: 1_000_000, repeatable: true, ..Default::default() };
+    let decisions = Settings { group_size: 1, classes: vec![class], ..Settings::default() };
+    let site = Site { decisions, class_names: vec!["standard-check".into()], ..Site::default() };
+    let shared = Shared {
+        clock: Clock::start(),
+        pool: Default::default(),
+        site: Rc::new(site.clone()),
+        inputs: mpsc::channel(1).0,
+        unreadable: Rc::default(),
+        calls: Rc::default(),
+        unwritten: Rc::default(),
+        tallies: Rc::default(),
+        fleet: Rc::default(),
+        copies: Rc::default(),
+        heard_later: false,
+    };
+    let now = shared.clock.now();
+    let core = Core::new(site, Bounds { connections: 8, connections_of_one: 8, bytes: 1 << 20 }, 7, now);
+    let mut owner = Owner::new(core, shared, Rc::new(|_, _| {}));
+    let way = Way::Platform(([127, 0, 0, 1], 1).into());
+    let entry = Entry { server: SERVER, started: None, number: 0, state: Readiness::Ready };
+    owner.listed(Source::Board, ListKind::All, vec![(entry, way)]);
+    owner.keep_links();
+    let (link, client) = (LinkId { server: SERVER, epoch: 1 }, ClientId(1));
+    let (outbox, to_server) = conn::channel();
+    owner.take(Input::LinkUp { link, outbox });
+    let (outbox, inbox) = conn::channel();
+    owner.take(Input::ClientOpened { client, peer: None, outbox });
+    let request = Request {
+        call: CALL,
+        class: 0,
+        tenant: 0,
+        dest: None,
+        number: "".into(),
+        description: "v=0".into(),
+        came: now,
+        left: 5_000_000,
+        was_cut: false,
+    };
+    owner.take(Input::Offer { client, request });
+    owner.carry_out();
+    (owner, inbox, link, to_server)
+}
+
+fn ended(link: LinkId) -> Input {
+    let (cause, note, report) = (ReleaseCause::NORMAL, Cause::Untold, Report::default());
+    Input::Ended { link, call: CALL, cause, note, report }
+}
+
+#[test]
+fn a_release_is_passed_on_though_its_connection_was_just_let_go() {
+    let (mut owner, mut inbox, link, _to_server) = with_call();
+    owner.take(Input::Answered { link, call: CALL, description: "v=1".into() });
+    owner.carry_out();
+    assert!(matches!(inbox.next_now(), Some(ToClient::Answer { call: CALL, .. })));
+    owner.take(ended(LinkId { epoch: 99, ..link }));
+    owner.carry_out();
+    assert!(matches!(inbox.next_now(), Some(ToClient::Released { call: CALL, .. })));
+    assert_eq!(owner.core.standing(), 0);
+}
+
+#[test]
+fn what_such_a_connection_says_of_a_set_up_settles_nothing() {
+    let (mut owner, mut inbox, link, _to_server) = with_call();
+    owner.take(ended(LinkId { epoch: 99, ..link }));
+    owner.carry_out();
+    assert!(inbox.next_now().is_none());
+    assert_eq!(owner.core.unanswered(), 1, "its attempt is out on another connection");
+}
+
+/// The same, where promises are copied: with the ends that whoever copies them has.
+fn with_copies() -> (Owner, Inbox<ToClient>, LinkId, Inbox<ToServer>, Arc<Lease>) {
+    let (mut owner, inbox, link, to_server) = with_call();
+    let (notes, noted) = mpsc::channel(64);
+    // Kept for as long as the owner: a closed one takes no notes.
+    std::mem::forget(noted);
+    // Of a second ago: a lease may have run out by now.
+    let started = std::time::Instant::now().checked_sub(std::time::Duration::from_secs(1));
+    let lease = Arc::new(Lease::new(started.expect("the machine runs for longer")));
+    let end = CopiesEnd { notes, lease: lease.clone(), after_copies: true, refuse_short: false };
+    owner.copy(end);
+    (owner, inbox, link, to_server, lease)
+}
+
+fn hears(owner: &mut Owner, news: News) {
+    owner.take(Input::Copies(news));
+    owner.look_at_copies();
+    owner.carry_out();
+}
+
+fn heard(to_server: &mut Inbox<ToServer>) -> usize {
+    std::iter::from_fn(|| to_server.next_now()).filter(|word| matches!(word, ToServer::Heard(_))).count()
+}
+
+#[test]
+fn a_caller_hears_that_its_call_stands_once_others_know_and_a_server_that_its_release_was_heard() {
+    let (mut owner, mut inbox, link, mut to_server, _) = with_copies();
+    hears(&mut owner, News::Short(false));
+    owner.take(Input::Answered { link, call: CALL, description: "v=1".into() });
+    owner.carry_out();
+    assert!(inbox.next_now().is_none(), "nobody else knows that it stands");
+    hears(&mut owner, News::Covered(1));
+    assert!(matches!(inbox.next_now(), Some(ToClient::Answer { call: CALL, .. })));
+    owner.take(ended(link));
+    owner.carry_out();
+    owner.look_at_copies();
+    assert!(matches!(inbox.next_now(), Some(ToClient::Released { call: CALL, .. })));
+    assert_eq!(heard(&mut to_server), 0, "its server would not say it again");
+    hears(&mut owner, News::Covered(2));
+    assert_eq!(heard(&mut to_server), 1);
+}
+
+#[test]
+fn nobody_waits_for_others_that_are_not_there_nor_past_its_time() {
+    let (mut owner, mut inbox, link, _to_server, _) = with_copies();
+    owner.take(Input::Answered { link, call: CALL, description: "v=1".into() });
+    owner.carry_out();
+    assert!(matches!(inbox.next_now(), Some(ToClient::Answer { call: CALL, .. })), "too few are there");
+    assert_eq!(owner.copies.as_ref().map(|copies| copies.uncopied), Some(1));
+    // In doubt, until its caller would give up: then it hears that it failed, and its server that it is
+    // over.
+    let (mut owner, mut inbox, link, mut to_server, lease) = with_copies();
+    lease.set(1, 0);
+    owner.look_at_copies();
+    owner.take(Input::Answered { link, call: CALL, description: "v=1".into() });
+    owner.carry_out();
+    let late = owner.shared.clock.now() + 60_000_000;
+    let given_up = owner.copies.as_mut().map(|copies| copies.given_up(late)).unwrap_or_default();
+    assert!(matches!(given_up[..], [Effect::Answer { call: CALL, .. }]) && inbox.next_now().is_none());
+    owner.give_up(late, given_up);
+    owner.carry_out();
+    assert!(matches!(inbox.next_now(), Some(ToClient::Final { call: CALL, verdict: Verdict::Failed })));
+    let ends = |word: &ToServer| matches!(word, ToServer::Release(CALL, _));
+    assert_eq!(std::iter::from_fn(|| to_server.next_now()).filter(ends).count(), 1);
+    assert_eq!(owner.core.standing(), 0);
+}
+
+#[test]
+fn an_answer_of_before_waits_for_the_lease_and_is_another_one_where_it_is_lost() {
+    for succeeded in [false, true] {
+        let (mut owner, mut inbox, link, _to_server, lease) = with_copies();
+        // One that ran out long ago, and nothing that waits to be covered.
+        lease.set(1, 0);
+        owner.look_at_copies();
+        owner.take(Input::Answered { link, call: CALL, description: "v=1".into() });
+        owner.carry_out();
+        hears(&mut owner, News::Covered(1));
+        assert!(inbox.next_now().is_none(), "another may have ended it");
+        // What is known of a succession goes before the lease that follows it.
+        lease.set(60_000, u64::from(succeeded));
+        owner.look_at_copies();
+        if succeeded {
+            assert!(inbox.next_now().is_none());
+            hears(&mut owner, News::Renounce([CALL.0].into()));
+            assert!(matches!(
+                inbox.next_now(),
+                Some(ToClient::Final { call: CALL, verdict: Verdict::Failed })
+            ));
+        } else {
+            assert!(matches!(inbox.next_now(), Some(ToClient::Answer { call: CALL, .. })));
+        }
+        assert!(inbox.next_now().is_none(), "once");
+    }
+}
--- a/agent/src/ports/conn.rs
+++ b/agent/src/ports/conn.rs
@@ -1,6 +1,7 @@
 //! Reading and writing of whole messages on one connection, whatever their form.
 
 use std::cell::Cell;
+use std::collections::VecDeque;
 use std::io;
 use std::ops::ControlFlow;
 use std::rc::Rc;
@@ -24,6 +25,14 @@
     fn is_attempt(&self) -> bool {
         false
     }
+
+    /// Whether it is not to leave any more, where its first byte has not.
+    fn is_cancelled(&self) -> bool {
+        false
+    }
+
+    /// Its first byte leaves.
+    fn begins(&self) {}
 }
 
 pub struct Outbox<M> {
@@ -36,15 +45,15 @@
     receiver: mpsc::Receiver<M>,
     bytes: Rc<Cell<usize>>,
     cut: Rc<Notify>,
-    /// One that did not fit the last buffer.
-    carried: Option<M>,
+    /// Those that did not fit the last buffer, or that the connection did not take then.
+    carried: VecDeque<M>,
 }
 
 pub fn channel<M>() -> (Outbox<M>, Inbox<M>) {
     let (sender, receiver) = mpsc::channel(MOST_MESSAGES);
     let (bytes, cut) = (Rc::new(Cell::new(0)), Rc::new(Notify::new()));
     let outbox = Outbox { sender, bytes: bytes.clone(), cut: cut.clone() };
-    (outbox, Inbox { receiver, bytes, cut, carried: None })
+    (outbox, Inbox { receiver, bytes, cut, carried: VecDeque::new() })
 }
 
 impl<M> Clone for Outbox<M> {
@@ -81,7 +90,7 @@
 
 impl<M: Weight> Inbox<M> {
     pub async fn next(&mut self) -> Option<M> {
-        match self.carried.take() {
+        match self.carried.pop_front() {
             Some(message) => Some(message),
             None => self.receiver.recv().await,
         }
@@ -93,7 +102,14 @@
     }
 
     pub fn next_now(&mut self) -> Option<M> {
-        self.receiver.try_recv().ok()
+        self.carried.pop_front().or_else(|| self.receiver.try_recv().ok())
+    }
+
+    /// Takes back what the connection did not take.
+    pub fn put_back(&mut self, parts: Vec<Part<M>>) {
+        for part in parts.into_iter().rev() {
+            self.carried.push_front(part.message);
+        }
     }
 
     pub fn written(&self, weight: usize) {
@@ -202,6 +218,8 @@
 /// Writes what is posted until the owner lets go of the connection. A message that is too long for the
 /// protocol, or has no form in it, is left out; `left_out` says whether it was the last. `written` hears of
 /// attempts that have left whole.
+///
+/// Nothing is chosen before the connection takes it: what is cancelled until then does not leave.
 pub async fn write_posted<M: Weight>(
     stream: &TcpStream,
     pool: &Pool,
@@ -211,37 +229,78 @@
     written: impl Fn(u64),
 ) -> io::Result<()> {
     while let Some(first) = inbox.next().await {
+        stream.writable().await?;
         let mut buffer = pool.take();
-        let (mut weight, mut attempts) = (0, 0);
+        let mut parts = Vec::new();
         let mut next = Some(first);
         while let Some(message) = next {
             let mark = buffer.len();
-            let encoded = encode(&message, &mut buffer);
-            if encoded.is_err() || buffer.len() - mark > LONGEST_MESSAGE + 1 {
+            if message.is_cancelled() {
+                inbox.written(message.weight());
+            } else if encode(&message, &mut buffer).is_ok() && buffer.len() - mark <= LONGEST_MESSAGE + 1 {
+                parts.push(Part { message, end: buffer.len() });
+            } else {
                 buffer.truncate(mark);
                 if mark > 0 {
-                    inbox.carried = Some(message);
+                    inbox.carried.push_front(message);
                     break;
                 }
+                inbox.written(message.weight());
                 if left_out(&message)?.is_break() {
                     pool.put(buffer);
                     return Ok(());
                 }
-            } else {
-                attempts += u64::from(message.is_attempt());
             }
-            weight += message.weight();
             next = inbox.next_now();
         }
-        let left = write_all(stream, buffer.filled()).await;
+        let taken = write_taken(stream, buffer.filled(), &parts).await;
         pool.put(buffer);
-        inbox.written(weight);
-        left?;
-        written(attempts);
+        inbox.put_back(parts.split_off(taken?));
+        inbox.written(parts.iter().map(|part| part.message.weight()).sum());
+        written(parts.iter().filter(|part| part.message.is_attempt()).count() as u64);
     }
     Ok(())
 }
 
+/// A message among bytes, and where it ends there.
+pub struct Part<M> {
+    pub message: M,
+    pub end: usize,
+}
+
+/// Writes as many whole messages as the connection takes now, and the rest of one that it takes in part;
+/// returns how many. The others wait, and may be cancelled meanwhile.
+pub async fn write_taken<M: Weight>(
+    stream: &TcpStream,
+    bytes: &[u8],
+    parts: &[Part<M>],
+) -> io::Result<usize> {
+    let (mut written, mut until) = (0, bytes.len());
+    while written < until {
+        let whole = parts.partition_point(|part| part.end <= written);
+        match stream.try_write(&bytes[written..until]) {
+            Ok(more) => {
+                written += more;
+                let begun = parts[whole..].iter().scan(whole, |place, part| {
+                    let start = place.checked_sub(1).map_or(0, |before| parts[before].end);
+                    *place += 1;
+                    (start < written).then_some(part)
+                });
+                begun.for_each(|part| part.message.begins());
+            }
+            Err(error) if error.kind() == io::ErrorKind::WouldBlock => {
+                if written == whole.checked_sub(1).map_or(0, |before| parts[before].end) {
+                    return Ok(whole);
+                }
+                until = parts[whole].end;
+                stream.writable().await?;
+            }
+            Err(error) => return Err(error),
+        }
+    }
+    Ok(parts.partition_point(|part| part.end <= written))
+}
+
 pub async fn write_all(stream: &TcpStream, mut bytes: &[u8]) -> io::Result<()> {
     while !bytes.is_empty() {
         stream.writable().await?;
--- a/agent/src/ports/mod.rs
+++ b/agent/src/ports/mod.rs
@@ -4,6 +4,7 @@
 pub mod clock;
 pub mod conn;
 pub mod copies;
+pub mod dispatch;
 pub mod pool;
 pub mod seldom;
 
@@ -23,6 +24,7 @@
 
 use clock::Clock;
 use conn::{Outbox, Weight};
+use dispatch::Dispatch;
 use pool::Pool;
 use seldom::Seldom;
 
@@ -53,12 +55,14 @@
     LetGo {
         inputs: u64,
     },
+    /// Nothing follows. Set-ups that cross this are not taken.
+    Finish,
 }
 
 /// Towards a server.
 #[derive(Debug)]
 pub enum ToServer {
-    SetUp(SetUp),
+    SetUp(SetUp, Dispatch),
     GiveUp(CallId),
     Release(CallId, ReleaseCause),
     Probe(CallId),
@@ -80,16 +84,36 @@
     }
 }
 
+impl ToServer {
+    /// The call that this sets up.
+    pub fn set_up(&self) -> Option<CallId> {
+        match self {
+            ToServer::SetUp(set_up, _) => Some(set_up.call),
+            _ => None,
+        }
+    }
+}
+
 impl Weight for ToServer {
     fn weight(&self) -> usize {
         match self {
-            ToServer::SetUp(set_up) => SMALL + set_up.number.len() + set_up.description.len(),
+            ToServer::SetUp(set_up, _) => SMALL + set_up.number.len() + set_up.description.len(),
             _ => SMALL,
         }
     }
 
     fn is_attempt(&self) -> bool {
-        matches!(self, ToServer::SetUp(_))
+        self.set_up().is_some()
+    }
+
+    fn is_cancelled(&self) -> bool {
+        matches!(self, ToServer::SetUp(_, dispatch) if dispatch.is_cancelled())
+    }
+
+    fn begins(&self) {
+        if let ToServer::SetUp(_, dispatch) = self {
+            dispatch.begin();
+        }
     }
 }
 
@@ -118,6 +142,11 @@
     ClientClosed {
         client: ClientId,
     },
+    /// A client can be told nothing for now, or can again.
+    ClientAway {
+        client: ClientId,
+        away: bool,
+    },
     Offer {
         client: ClientId,
         request: Request,
--- a/agent/tests/common/mod.rs
+++ b/agent/tests/common/mod.rs
@@ -2,13 +2,14 @@
 #![allow(dead_code)]
 
 use std::io::{BufRead, BufReader, Read, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::path::PathBuf;
 use std::process::{Child, Command, ExitStatus, Stdio};
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::{Duration, Instant};
 
 use serde_json::{json, Value};
+use socket2::{Domain, SockRef, Socket, Type};
 
 /// No story waits longer than this for anything.
 pub const PATIENCE: Duration = Duration::from_secs(20);
@@ -161,6 +162,22 @@
         assert!(done.expect("kill runs").success());
     }
 
+    /// Holds the program while something happens: all of that comes to it in one moment, in that order.
+    pub fn held<R>(&self, meanwhile: impl FnOnce() -> R) -> R {
+        self.signal("STOP");
+        let stat = format!("/proc/{}/stat", self.child.id());
+        let is_stopped = || {
+            let stat = std::fs::read_to_string(&stat).expect("it runs");
+            stat.rsplit(')').next().is_some_and(|rest| rest.trim_start().starts_with('T'))
+        };
+        while !is_stopped() {
+            std::thread::yield_now();
+        }
+        let done = meanwhile();
+        self.signal("CONT");
+        done
+    }
+
     pub fn ended(&mut self) -> ExitStatus {
         let start = Instant::now();
         loop {
@@ -181,6 +198,11 @@
     fn drop(&mut self) {
         let _ = self.child.kill();
         let _ = self.child.wait();
+        if std::thread::panicking() {
+            let mut rest = String::new();
+            let _ = self.log.read_to_string(&mut rest);
+            eprintln!("what it said last:\n{rest}");
+        }
     }
 }
 
@@ -204,6 +226,19 @@
         self.stream.write_all(bytes).expect("it takes what is written");
     }
 
+    /// This side's address and the other's.
+    fn sides(&self) -> (SocketAddr, SocketAddr) {
+        (self.stream.local_addr().expect("bound"), self.stream.peer_addr().expect("connected"))
+    }
+
+    /// Waits until the other side's machine has all that was said.
+    pub fn delivered(&self) {
+        let (ours, theirs) = self.sides();
+        while of_connection(ours, theirs).is_some_and(|(_, unconfirmed)| unconfirmed > 0) {
+            std::thread::yield_now();
+        }
+    }
+
     pub fn say(&mut self, message: Value) {
         self.raw(format!("{message}\n").as_bytes());
     }
@@ -286,6 +321,129 @@
         "extras": format!("dest:{first_choice};width:1;via:-1")}})
 }
 
+/// Lets this time pass while the program is held, so that what it waits for is due when it goes on.
+pub fn pass(time: Duration) {
+    let until = Instant::now() + time;
+    while Instant::now() < until {
+        std::thread::park_timeout(until - Instant::now());
+    }
+}
+
+/// What the machine says of one side of a connection: its state, and the bytes that wait to be confirmed by the
+/// other. `None` where it is not there any more.
+fn of_connection(side: SocketAddr, other: SocketAddr) -> Option<(u8, usize)> {
+    let name = |address: SocketAddr| format!(":{:04X}", address.port());
+    let (side, other) = (name(side), name(other));
+    let table = std::fs::read_to_string("/proc/net/tcp").expect("readable");
+    let mut lines = table.lines().map(|line| line.split_whitespace().collect::<Vec<_>>());
+    let line = lines.find(|line| line.len() > 4 && line[1].ends_with(&side) && line[2].ends_with(&other))?;
+    let hex = |text: &str| usize::from_str_radix(text, 16).expect("hex");
+    Some((hex(line[3]) as u8, hex(line[4].split(':').next().expect("two"))))
+}
+
+/// Bytes that the program has written to a caller and that its machine could not pass on.
+pub fn unsent_to(caller: &Lines) -> usize {
+    let (ours, theirs) = caller.sides();
+    of_connection(theirs, ours).expect("its connection").1
+}
+
+/// How a caller leaves that has made a call and waits for its answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Leaves {
+    Closes,
+    HalfCloses,
+    Resets,
+    Cancels,
+}
+
+impl Leaves {
+    pub const ALL: [Leaves; 4] = [Leaves::Closes, Leaves::HalfCloses, Leaves::Resets, Leaves::Cancels];
+
+    /// What is left of the caller.
+    /// When this is over, the program's machine knows of it.
+    pub fn now(self, mut caller: Lines, calls: impl IntoIterator<Item = u64>) -> Option<Lines> {
+        let (ours, theirs) = caller.sides();
+        let mut rest = None;
+        match self {
+            Leaves::Closes => drop(caller),
+            Leaves::HalfCloses => {
+                caller.stream.shutdown(Shutdown::Write).expect("open");
+                rest = Some(caller);
+            }
+            Leaves::Resets => {
+                SockRef::from(&caller.stream).set_linger(Some(Duration::ZERO)).expect("settable");
+                drop(caller);
+            }
+            Leaves::Cancels => {
+                calls.into_iter().for_each(|call| caller.say(end(call, 16)));
+                caller.delivered();
+                return Some(caller);
+            }
+        }
+        const ESTABLISHED: u8 = 1;
+        while of_connection(theirs, ours).is_some_and(|(state, _)| state == ESTABLISHED) {
+            std::thread::yield_now();
+        }
+        rest
+    }
+}
+
+/// A call that nobody leaves: what a server is sent of others is there before it.
+pub const MARKER: u64 = 0xffff;
+
+/// The next set-up that a server gets is the marker's, whatever else it is told.
+pub fn only_the_marker(agent: &Agent, server: &mut Lines, choice: usize, case: &str) {
+    let mut other = agent.caller();
+    other.offer(MARKER, 9000, choice);
+    loop {
+        let message = server.next().unwrap_or_else(|| panic!("{case}: the connection ended"));
+        if message["op"] == "offer" {
+            assert_eq!(message["call"], hex(MARKER), "{case}");
+            return;
+        }
+    }
+}
+
+/// A check server of which a second connection does not come up until the first is accepted: its queue takes
+/// one.
+pub struct Narrow {
+    pub server: Server,
+    /// What keeps the queue full.
+    filler: Option<TcpStream>,
+}
+
+impl Narrow {
+    pub fn new() -> Self {
+        let socket = Socket::new(Domain::IPV4, Type::STREAM, None).expect("a socket");
+        let any = SocketAddr::from(([127, 0, 0, 1], 0));
+        socket.bind(&any.into()).expect("a port");
+        socket.listen(0).expect("bound");
+        let listener = TcpListener::from(socket);
+        let address = listener.local_addr().expect("bound");
+        Narrow { server: Server { listener, address }, filler: None }
+    }
+
+    /// Has every dial of it wait from now on.
+    pub fn fill(&mut self) {
+        self.filler = Some(TcpStream::connect(self.server.address).expect("one fits"));
+    }
+
+    /// Accepts its one connection: another one, that relieves this where it is silent, does not come up.
+    pub fn only(&mut self) -> Lines {
+        let lines = self.accept();
+        self.fill();
+        lines
+    }
+
+    /// Lets one dial that waits come up, and accepts it.
+    pub fn accept(&mut self) -> Lines {
+        if self.filler.take().is_some() {
+            self.server.listener.accept().expect("the filler");
+        }
+        self.server.accept()
+    }
+}
+
 /// A check server of the platform's signalling.
 pub struct Server {
     pub listener: TcpListener,
--- a/core/src/clients.rs
+++ b/core/src/clients.rs
@@ -51,6 +51,8 @@
     /// When it last made a call that was taken in, and whether any has stood.
     called: Option<Micros>,
     proven: bool,
+    /// It can be told nothing for now.
+    away: bool,
     /// Its calls that wait for an answer, and those that stand.
     open: usize,
     standing: usize,
@@ -76,7 +78,8 @@
     /// Takes in a connection; returns the one to let go of where there are too many.
     pub fn opened(&mut self, id: ClientId, peer: Option<Peer>, now: Micros) -> Option<ClientId> {
         let (heard, called, proven) = (None, None, id.is_bound());
-        let client = Client { peer, opened: now, inputs: 0, heard, called, proven, open: 0, standing: 0 };
+        let (opened, away) = (now, false);
+        let client = Client { peer, opened, inputs: 0, heard, called, proven, away, open: 0, standing: 0 };
         self.clients.insert(id, client);
         let of_peer = |client: &Client| peer.is_some() && client.peer == peer;
         if self.clients.values().filter(|client| of_peer(client)).count() > self.bounds.connections_of_one {
@@ -124,6 +127,14 @@
         });
     }
 
+    pub fn set_away(&mut self, client: ClientId, away: bool) {
+        self.change(client, |client| client.away = away);
+    }
+
+    pub fn is_away(&self, client: ClientId) -> bool {
+        self.clients.get(&client).is_some_and(|client| client.away)
+    }
+
     /// Something that makes no sense came from it.
     pub fn unfit(&mut self, client: ClientId) {
         self.change(client, |client| client.inputs += 1);
--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -74,6 +74,11 @@
         server: ServerId,
         call: CallId,
     },
+    /// A set-up is taken back if it has not left; where it was, that is told as one that was not sent.
+    Withdraw {
+        server: ServerId,
+        call: CallId,
+    },
     Release {
         server: ServerId,
         call: CallId,
@@ -219,6 +224,11 @@
         std::mem::take(&mut self.effects)
     }
 
+    /// Whether a set-up is about to leave.
+    pub fn sends(&self) -> bool {
+        self.effects.iter().any(|effect| matches!(effect, Effect::SetUp { .. }))
+    }
+
     pub fn next_wake(&self) -> Option<Micros> {
         self.wakes.peek().map(|Reverse((at, _))| *at)
     }
@@ -339,6 +349,11 @@
         self.route.held()
     }
 
+    /// Whether a server takes set-ups, as far as is told.
+    pub fn is_ready(&self, server: ServerId) -> bool {
+        self.route.ready(server)
+    }
+
     /// Whether a call stands at a server or a set-up is out there.
     pub fn is_busy(&self, server: ServerId) -> bool {
         let out = |pending: &Pending| pending.out.is_some_and(|attempt| attempt.server == server);
--- a/core/src/relay.rs
+++ b/core/src/relay.rs
@@ -146,6 +146,17 @@
         }
     }
 
+    /// A client can be told nothing for now, or can again. Nothing is sent for its set-ups meanwhile: what is
+    /// out at a server may still be answered, and what has not left is taken back.
+    pub fn client_away(&mut self, client: ClientId, away: bool) {
+        self.clients.set_away(client, away);
+        if away {
+            let waiting = self.pending.iter().filter(|(_, pending)| pending.client == client);
+            let out = waiting.filter_map(|(call, pending)| Some((*call, pending.out?.server)));
+            self.effects.extend(out.map(|(call, server)| Effect::Withdraw { server, call }));
+        }
+    }
+
     /// A client asks whether this call agent is well.
     pub fn client_tested(&mut self, now: Micros, client: ClientId) {
         self.clients.heard(client, now);
--- a/core/src/send.rs
+++ b/core/src/send.rs
@@ -130,6 +130,11 @@
         };
         let attempt = Attempt { server, number: pending.attempts, sent: now };
         pending.attempts += 1;
+        if self.clients.is_away(pending.client) {
+            self.finish(now, call, Verdict::Failed);
+            self.decide(now, Event::Gone { call });
+            return self.decide(now, Event::Ended(attempt.ended(now, call, Outcome::Moot)));
+        }
         if let Some(breach) = breach {
             self.book.breach(breach);
             self.decide(now, Event::Ended(attempt.ended(now, call, Outcome::Moot)));
--- a/signalling/src/m3ua/gateway.rs
+++ b/signalling/src/m3ua/gateway.rs
@@ -100,6 +100,13 @@
     Lost {
         server: usize,
     },
+    /// Nobody takes a server's traffic, and T(r) has begun; or somebody does again before its end.
+    Away {
+        server: usize,
+    },
+    Back {
+        server: usize,
+    },
     /// A client tells how congested it is, 0 to 3.
     Congested {
         server: usize,
@@ -552,7 +559,10 @@
             return false;
         }
         match next {
-            Server::Pending => state.until = Some(now + self.config.recovery),
+            Server::Pending => {
+                state.until = Some(now + self.config.recovery);
+                self.effects.push(Effect::Away { server });
+            }
             Server::Active => state.until = None,
             Server::Inactive | Server::Down => {
                 state.until = None;
@@ -574,6 +584,8 @@
         if next == Server::Active {
             if !std::mem::replace(&mut self.servers[server].told_up, true) {
                 self.effects.push(Effect::Up { server });
+            } else if before == Server::Pending {
+                self.effects.push(Effect::Back { server });
             }
             for (circuit, user) in std::mem::take(&mut self.servers[server].waiting) {
                 self.send(server, circuit, &user);
--- a/signalling/src/office.rs
+++ b/signalling/src/office.rs
@@ -107,6 +107,9 @@
     Close(Association),
     ClientUp(usize),
     ClientLost(usize),
+    /// A client can be told nothing for now, until it is back or lost.
+    ClientAway(usize),
+    ClientBack(usize),
     Offer {
         client: usize,
         call: CallRef,
@@ -416,6 +419,8 @@
                     self.tell_trunk(now, Peer::Client(client), circuits::Event::Down, None);
                     self.effects.push(Effect::ClientLost(client));
                 }
+                gateway::Effect::Away { server: client } => self.effects.push(Effect::ClientAway(client)),
+                gateway::Effect::Back { server: client } => self.effects.push(Effect::ClientBack(client)),
                 gateway::Effect::Congested { server: client, level } => {
                     self.note(Note::ClientCongested(client, level))
                 }
