Refuse settings that cannot be meant, with file and key; keep descriptors back for servers

Whole numbers written as 5.0 are read. Seen: with a real limit of 96 descriptors and 20 servers, idle clients of many machines left 97 open (config.rs OWN_SOCKETS, 32 for everything). Now 16, and two for each listed server (8 at least), are kept back; the new test fails without it. The test of the ops address names the file now, too, and is otherwise as it was. New without a fault found: ready with discovery down, silent or absent and servers out of reach; floods of cancels, repeats, taken ids and half lines beside a good client.

--- a/agent/src/config.rs
+++ b/agent/src/config.rs
@@ -8,7 +8,7 @@
 use serde::Deserialize;
 use steprelay_core::{Bounds, Source};
 use steprelay_decisions::{Entry, ListKind, Readiness};
-use steprelay_settings::Site;
+use steprelay_settings::{SettingsError, Site};
 
 use crate::board;
 use crate::inherited::{self, InheritedError};
@@ -25,8 +25,19 @@
     NotJson { path: PathBuf, error: serde_json::Error },
     #[error("LB_SOCKET_FD: {0}")]
     Inherited(#[from] InheritedError),
+    #[error("{}: {wrong}", path.display())]
+    Wrong { path: PathBuf, wrong: Wrong },
+    #[error("LB_OPS: {0}")]
+    Ops(String),
+}
+
+/// What the file holds that cannot be, and where.
+#[derive(Debug, thiserror::Error)]
+pub enum Wrong {
     #[error("{field}: {why}")]
-    Wrong { field: &'static str, why: String },
+    Field { field: &'static str, why: String },
+    #[error("settings.{0}")]
+    Settings(#[from] SettingsError),
 }
 
 /// Why one of our own files can't be used.
@@ -129,9 +140,13 @@
 /// Where they name no memory, in MB; and the part of it that calls that wait may take.
 const MEMORY: usize = 192;
 const HELD_PART: usize = 4;
-/// The program's own descriptors: its listeners, the board, the servers, the runtime's; and connections that
+/// The program's own descriptors: its listeners, the board, the runtime's, and callers' connections that
 /// close.
-const OWN_SOCKETS: usize = 32;
+const OWN_SOCKETS: usize = 16;
+/// Those for servers, of which so many may come to be listed: a connection each, and one that relieves it. No
+/// caller takes these, so that servers and the board can be had whoever fills the others.
+const SERVERS: usize = 8;
+const OF_SERVER: usize = 2;
 
 impl Config {
     /// Reads the file that was named, or else the one in `LB_CONFIG`.
@@ -142,15 +157,15 @@
         };
         let text = std::fs::read_to_string(&path)
             .map_err(|error| ConfigError::Unreadable { path: path.clone(), error })?;
-        let raw = serde_json::from_str(&text).map_err(|error| ConfigError::NotJson { path, error })?;
-        let mut raw: RawConfig = raw;
+        let raw = serde_json::from_str(&text);
+        let mut raw: RawConfig = raw.map_err(|error| ConfigError::NotJson { path: path.clone(), error })?;
         // Two processes of an upgrade share the file, and differ in this address.
         let named = std::env::var("LB_OPS").ok();
         if let Some(named) = &named {
-            address("LB_OPS", named)?;
+            address("LB_OPS", named).map_err(|_| ConfigError::Ops(no_address(named)))?;
         }
         raw.ops = named.or(raw.ops);
-        let mut config = Self::from_raw(raw)?;
+        let mut config = Self::from_raw(raw).map_err(|wrong| ConfigError::Wrong { path, wrong })?;
         if let Ok(number) = std::env::var("LB_SOCKET_FD") {
             config.inherited = Some(inherited::listener(&number, config.listen)?);
             // Two processes of an upgrade share the descriptors.
@@ -160,7 +175,8 @@
         Ok(config)
     }
 
-    fn from_raw(raw: RawConfig) -> Result<Self, ConfigError> {
+    fn from_raw(raw: RawConfig) -> Result<Self, Wrong> {
+        steprelay_settings::check(&raw.settings)?;
         let site = steprelay_settings::site(&raw.settings);
         if site.class_names.is_empty() {
             return Err(wrong("settings.services", "no class of call is named"));
@@ -172,7 +188,9 @@
         let memory = raw.limits.memory_mb.unwrap_or(MEMORY) << 20;
         let sockets = raw.limits.sockets.unwrap_or(SOCKETS);
         let ops = raw.ops.as_deref().map(|text| address("ops", text)).transpose()?;
-        let own = OWN_SOCKETS + if ops.is_some() { ops::MOST } else { 0 };
+        let known = known(raw.known)?;
+        let servers = OF_SERVER * known.servers.len().max(SERVERS);
+        let own = OWN_SOCKETS + servers + if ops.is_some() { ops::MOST } else { 0 };
         Ok(Config {
             name: raw.name,
             listen: address("listen", &raw.listen)?,
@@ -180,7 +198,7 @@
             ops,
             seed,
             board: raw.board.as_deref().map(|text| address("board", text)).transpose()?,
-            known: known(raw.known)?,
+            known,
             site,
             bounds: Bounds {
                 // Callers hold a third of the descriptors; the second third is for others that come to call.
@@ -192,16 +210,20 @@
     }
 }
 
-fn wrong(field: &'static str, why: impl Into<String>) -> ConfigError {
-    ConfigError::Wrong { field, why: why.into() }
+fn wrong(field: &'static str, why: impl Into<String>) -> Wrong {
+    Wrong::Field { field, why: why.into() }
 }
 
-fn address(field: &'static str, text: &str) -> Result<SocketAddr, ConfigError> {
-    text.parse().map_err(|_| wrong(field, format!("'{}' is no address with a port", text.escape_debug())))
+fn no_address(text: &str) -> String {
+    format!("'{}' is no address with a port", text.escape_debug())
+}
+
+fn address(field: &'static str, text: &str) -> Result<SocketAddr, Wrong> {
+    text.parse().map_err(|_| wrong(field, no_address(text)))
 }
 
 /// Plays the known events, one after the other, down to the list that they leave.
-fn known(raw: RawKnown) -> Result<Known, ConfigError> {
+fn known(raw: RawKnown) -> Result<Known, Wrong> {
     let mut servers = BTreeMap::new();
     for notice in raw.notices {
         if notice.pool.all {
@@ -225,48 +247,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-
-    fn read(text: &str) -> Result<Config, String> {
-        let raw = serde_json::from_str(text).map_err(|error| error.to_string())?;
-        Config::from_raw(raw).map_err(|error| error.to_string())
-    }
-
-    #[test]
-    fn known_events_are_played_to_the_present_list() {
-        let target = |uid: &str, state: &str| {
-            format!(
-                r#"{{"uid":"{uid}","endpoint":"127.0.0.2:5070","pod_group":2,"state":"{state}","boot_ms":0}}"#
-            )
-        };
-        let notice = |all: bool, targets: &[String]| {
-            format!(r#"{{"rev":1,"pool":{{"rev":1,"all":{all},"targets":[{}]}}}}"#, targets.join(","))
-        };
-        let first = notice(true, &[target("s-0000000a", "up"), target("s-0000000b", "up")]);
-        let then = notice(false, &[target("s-0000000a", "draining"), target("s-0000000b", "removed")]);
-        let text = format!(
-            r#"{{"listen":"127.0.0.1:0","seed":"8c1f30d27a5be964",
-                "known":{{"rev":7,"notices":[{first},{then}]}},
-                "settings":{{"services":[{{"name":"voice"}}]}}}}"#
-        );
-        let config = read(&text).expect("well formed");
-        assert_eq!((config.seed, config.known.last), (0x8c1f_30d2_7a5b_e964, 7));
-        let left: Vec<_> =
-            config.known.servers.iter().map(|(entry, _)| (entry.server.0, entry.state)).collect();
-        assert_eq!(left, [(10, Readiness::Draining)]);
-    }
-
-    #[test]
-    fn what_is_wrong_is_said_plainly() {
-        let settings = r#""settings":{"services":[{"name":"voice"}]}"#;
-        let bad = |rest: &str| read(&format!("{{{rest}}}")).expect_err("bad");
-        assert_eq!(
-            bad(&format!(r#""listen":"here",{settings}"#)),
-            "listen: 'here' is no address with a port"
-        );
-        let empty = bad(r#""listen":"127.0.0.1:1","settings":{}"#);
-        assert_eq!(empty, "settings.services: no class of call is named");
-        assert!(bad(&format!(r#""listen":"127.0.0.1:1","seed":"x",{settings}"#)).starts_with("seed: "));
-    }
-}
+mod tests;
--- a/agent/tests/common/mod.rs
+++ b/agent/tests/common/mod.rs
@@ -107,6 +107,16 @@
         Self::run(command, config)
     }
 
+    /// Starts under a real limit on descriptors, the one that the configuration names.
+    pub fn start_limited(&self) -> Agent {
+        let config = self.file("127.0.0.1:0");
+        let mut command = Command::new("/bin/sh");
+        let limit = format!("ulimit -n {}; exec \"$@\"", self.sockets);
+        command.args(["-c", &limit, "sh", env!("CARGO_BIN_EXE_steprelay"), "serve", "--config"]);
+        command.arg(&config).env_remove("LB_OPS").env_remove("LB_SOCKET_FD");
+        Self::run(command, config)
+    }
+
     fn run(mut command: Command, config: PathBuf) -> Agent {
         let mut child = command.stderr(Stdio::piped()).spawn().expect("it starts");
         let log = BufReader::new(child.stderr.take().expect("piped"));
@@ -189,6 +199,14 @@
         }
     }
 
+    /// A caller on another machine.
+    pub fn caller_from(&self, machine: u8) -> Lines {
+        let socket = Socket::new(Domain::IPV4, Type::STREAM, None).expect("a socket");
+        socket.bind(&SocketAddr::from(([127, 0, 9, machine], 0)).into()).expect("a port");
+        socket.connect(&self.address.into()).expect("it listens");
+        Lines::new(socket.into())
+    }
+
     pub fn caller(&self) -> Lines {
         Lines::new(TcpStream::connect(self.address).expect("it listens"))
     }
--- a/agent/tests/m3ua.rs
+++ b/agent/tests/m3ua.rs
@@ -1049,7 +1049,7 @@
             } else {
                 drop(at_one);
                 // It has been told of the reset when it dials again; the gap is 200 ms.
-                at_one = one.accept();
+                let _at_one = one.accept();
                 agent.held(|| {
                     pass(Duration::from_millis(300));
                     leaves.now(client, 5)
--- a/agent/tests/ops.rs
+++ b/agent/tests/ops.rs
@@ -167,20 +167,22 @@
     let said = |setting: &Setting, environment: Option<&str>, command: &str| {
         let config = setting.file("127.0.0.1:0");
         let mut program = std::process::Command::new(env!("CARGO_BIN_EXE_steprelay"));
-        program.arg(command).arg("--config").arg(config).env_remove("LB_OPS");
+        program.arg(command).arg("--config").arg(&config).env_remove("LB_OPS");
         if let Some(address) = environment {
             program.env("LB_OPS", address);
         }
         let output = program.output().expect("it runs");
-        (output.status.code(), String::from_utf8_lossy(&output.stderr).into_owned())
+        // The file is another one each time.
+        let file = format!("{}: ", config.display());
+        (output.status.code(), String::from_utf8_lossy(&output.stderr).replacen(&file, "FILE: ", 1))
     };
     let mut setting = Setting::new(&[]);
     setting.ops = Some("here".into());
     let wrong = |field: &str| {
         (Some(1), format!("steprelay: configuration: {field}: 'here' is no address with a port\n"))
     };
-    assert_eq!(said(&setting, None, "serve"), wrong("ops"));
-    assert_eq!(said(&setting, None, "check-config"), wrong("ops"));
+    assert_eq!(said(&setting, None, "serve"), wrong("FILE: ops"));
+    assert_eq!(said(&setting, None, "check-config"), wrong("FILE: ops"));
     setting.ops = None;
     assert_eq!(said(&setting, Some("here"), "check-config"), wrong("LB_OPS"));
     assert_eq!(said(&setting, Some("127.0.0.1:9"), "check-config").0, Some(0));
--- a/agent/tests/platform.rs
+++ b/agent/tests/platform.rs
@@ -2,7 +2,7 @@
 
 mod common;
 
-use std::io::Write;
+use std::io::{Read, Write};
 use std::net::{Shutdown, TcpListener};
 use std::time::{Duration, Instant};
 
@@ -498,3 +498,149 @@
     server.expect("ended", 77);
     caller.settle();
 }
+
+/// Idle clients of many machines take all the places there are while discovery is down: when it is back it is
+/// reached, a server that it names is dialled, and a caller that comes then is served.
+#[test]
+fn discovery_and_servers_are_reached_though_idle_clients_fill_the_descriptors() {
+    for from_the_start in [true, false] {
+        let (many, two, board) = ([(); 20].map(|()| Server::new()), Server::new(), Server::on("127.0.0.3:0"));
+        let mut setting = Setting::new(&[]);
+        setting.servers = (3..).zip(many.iter().map(|server| server.address)).collect();
+        (setting.board, setting.sockets) = (Some(board.address), 96);
+        let address = board.address;
+        let mut listening = (!from_the_start).then_some(board);
+        let agent = setting.start_limited();
+        let _at_many = many.each_ref().map(Server::accept);
+        if let Some(board) = listening.take() {
+            let (mut events, _) = board.listener.accept().expect("a connection");
+            bytes(&mut events, 8);
+        }
+        // Half of them say something that makes sense first.
+        let mut idle: Vec<_> = (0..150).map(|machine| agent.caller_from(machine)).collect();
+        for client in idle.iter_mut().rev().step_by(2).take(10) {
+            client.settle();
+        }
+        assert!(agent.descriptors() <= 96, "{} are open", agent.descriptors());
+        let board = TcpListener::bind(address).expect("its port is free");
+        let (mut events, _) = board.accept().expect("a connection");
+        assert_eq!(bytes(&mut events, 8), 1u64.to_be_bytes());
+        events.write_all(&frame(2, 2, &[record(2, two.address, 0)])).expect("read");
+        let mut at_two = two.accept();
+        // As many again come meanwhile, and nobody of those says anything.
+        idle.extend((150..250).map(|machine| agent.caller_from(machine)));
+        let mut usual = agent.caller_from(251);
+        usual.offer(1, 9000, 1);
+        at_two.expect("offer", 1);
+        at_two.say(accept(1));
+        usual.expect("accept", 1);
+        assert!(agent.descriptors() <= 96, "{} are open", agent.descriptors());
+    }
+}
+
+/// Nine in ten that are restarted are ready within 10 s: each is at once, with discovery down or silent, and
+/// with servers that cannot be reached.
+#[test]
+fn it_is_ready_soon_whether_discovery_and_servers_are_there_or_not() {
+    let silent = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let nowhere = Server::on("127.0.0.4:0").address;
+    let mut narrow = Narrow::new();
+    narrow.fill();
+    let (silent, dead) = (silent.local_addr().expect("bound"), Server::on("127.0.0.5:0").address);
+    for servers in [vec![], vec![nowhere], vec![narrow.server.address, nowhere]] {
+        for board in [None, Some(silent), Some(dead)] {
+            let mut setting = Setting::new(&servers);
+            setting.settings["policyLimits"]["dialTimeoutMs"] = json!(60_000);
+            (setting.board, setting.ops) = (board, Some("127.0.0.1:0".into()));
+            let began = Instant::now();
+            let mut agent = setting.start();
+            agent.ops();
+            agent.caller().settle();
+            assert!(began.elapsed() < Duration::from_secs(5), "{servers:?} {board:?}");
+        }
+    }
+}
+
+/// Cancels, repeats, ids that are taken and half lines as fast as a client can: each is answered or its
+/// connection ends, nothing is kept, and a good client is served meanwhile.
+#[test]
+fn floods_of_cancels_repeats_and_half_lines_cost_others_nothing() {
+    let server = Server::new();
+    let mut setting = Setting::new(&[server.address]);
+    setting.ops = Some("127.0.0.1:0".into());
+    let mut agent = setting.start();
+    let ops = agent.ops();
+    std::thread::spawn(move || answer_all(server.listener));
+    let cancels: String = (0..2_000).map(|call| format!("{}\n", end(1 << 40 | call, 16))).collect();
+    let set_ups: String = (0..300)
+        .flat_map(|call| [offer(2 << 40 | call, 9000, 0), end(2 << 40 | call, 16)])
+        .map(|message| format!("{message}\n"))
+        .collect();
+    let repeats = format!("{}\n", offer(3 << 40, 9000, 0)).repeat(500);
+    let long = "z".repeat(40_000);
+    let half = r#"{"op":"offer","call":"00000000000000"#;
+    let floods = [cancels.as_str(), &set_ups, &repeats, &long, half];
+    std::thread::scope(|scope| {
+        for (flood, round) in floods
+            .into_iter()
+            .zip(1..)
+            .flat_map(|(flood, place)| (0..4u8).map(move |round| (flood, 10 * place + round)))
+        {
+            let agent = &agent;
+            scope.spawn(move || {
+                let began = Instant::now();
+                let mut bad = agent.caller_from(round);
+                // It may be ended in the middle of it.
+                let _ = bad.stream.write_all(flood.as_bytes());
+                let _ = bad.stream.shutdown(Shutdown::Write);
+                let mut rest = Vec::new();
+                let _ = bad.stream.read_to_end(&mut rest);
+                assert!(began.elapsed() < Duration::from_secs(6), "it is ended in time");
+            });
+        }
+        let mut good = agent.caller();
+        for call in 1..=100 {
+            good.offer(call, 9000, 0);
+            let answer = good.next().expect("an answer");
+            assert_eq!((&answer["op"], &answer["call"]), (&json!("accept"), &json!(hex(call))));
+            good.say(end(call, 16));
+        }
+    });
+    while figure(ops, "concurrent") > 0 {}
+    assert!(agent.descriptors() < 40, "{} are open", agent.descriptors());
+}
+
+/// Settings that cannot be meant, as the program says them: with the file, the key and an exit that tells.
+#[test]
+fn wrong_settings_are_said_with_file_and_key() {
+    let table = [
+        (
+            "/rules",
+            json!({"startCapacity": 30}),
+            "settings.rules.startCapacity: 30 is not a fraction from 0 to 1",
+        ),
+        (
+            "/services/0/hardLimitMs",
+            json!(-9000),
+            "settings.services[0].hardLimitMs: -9000 is not a time in milliseconds",
+        ),
+        ("/specifics/widths", json!([]), "settings.specifics.widths: has 0 entries for 2 classes"),
+        (
+            "/policyLimits/tryLimit",
+            json!("five"),
+            "settings.policyLimits.tryLimit: \"five\" is not a whole number from 0 on",
+        ),
+    ];
+    for (place, value, said) in table {
+        let mut setting = Setting::new(&[]);
+        *setting.settings.pointer_mut(place).expect("it is there") = value;
+        let file = setting.file("127.0.0.1:0");
+        for command in ["serve", "check-config"] {
+            let mut program = std::process::Command::new(env!("CARGO_BIN_EXE_steprelay"));
+            let output = program.args([command, "--config"]).arg(&file).output().expect("it runs");
+            let text = String::from_utf8_lossy(&output.stderr).into_owned();
+            assert_eq!(output.status.code(), Some(1), "{text}");
+            assert_eq!(text, format!("steprelay: configuration: {}: {said}\n", file.display()));
+        }
+    }
+}
--- a/settings/src/lib.rs
+++ b/settings/src/lib.rs
@@ -1,7 +1,11 @@
 //! Reads the settings object that a call agent and the simulator's adapter are both given.
 //!
-//! Unknown keys are skipped and missing ones stay at "not told", so that a deployment may add keys.
+//! Unknown keys are skipped and missing ones stay at "not told", so that a deployment may add keys. What is
+//! there and cannot be meant is found by [`check`].
 
+mod check;
+
+pub use check::{check, SettingsError};
 use serde_json::Value;
 use steprelay_decisions::{Class, Limits, Micros, Report, Rules, Settings, Tenant};
 
@@ -17,8 +21,14 @@
     micros(number(value))
 }
 
+/// A whole number, however it is written.
+fn whole(value: &Value) -> Option<u32> {
+    let number = value.as_f64().filter(|number| (0.0..=f64::from(u32::MAX)).contains(number));
+    number.filter(|number| number.fract() == 0.0).map(|number| number as u32)
+}
+
 fn count(value: &Value) -> u32 {
-    value.as_u64().and_then(|count| count.try_into().ok()).unwrap_or_default()
+    whole(value).unwrap_or_default()
 }
 
 fn flag(value: &Value) -> bool {
@@ -41,7 +51,7 @@
         servers: allowed
             .get(place)
             .and_then(Value::as_array)
-            .map(|numbers| numbers.iter().filter_map(Value::as_u64).map(|number| number as u32).collect()),
+            .map(|numbers| numbers.iter().filter_map(whole).collect()),
         hold: holds.get(place).map_or(0, time),
     };
     Settings {
@@ -72,7 +82,7 @@
         release: time(&facts["clearWaitMs"]),
         t1: time(&facts["t1Ms"]),
         marks_retry: flag(&all["clientHabits"]["marksRetry"]),
-        home: facts["homeNo"].as_u64().map(|home| home as u32),
+        home: whole(&facts["homeNo"]),
     }
 }
 
