--- a/agent/src/net/links/tests.rs
+++ b/agent/src/net/links/tests.rs
@@ -183,3 +183,40 @@
     assert_eq!(links.lost(second, LinkLoss::Unanswered, SOON), [CallId(1)], "it may have run");
     assert!(!links.post(AT, set_up(2), SOON), "nothing goes on the first any more");
 }
+
+/// A server is told to drain: set-ups of which no byte has left go elsewhere, whether they wait for its
+/// connection or in the queue of one that takes nothing; what has begun stays, and so does a release.
+#[test]
+fn what_has_not_left_is_taken_back_and_a_release_stays() {
+    let release = || ToServer::Release(CallId(9), steprelay_core::ReleaseCause::NORMAL);
+    let mut links = Links::default();
+    links.listed(AT, Way::Platform(([127, 0, 0, 1], 1).into()), 0);
+    let (id, _) = links.due(0)[0];
+    for message in [set_up(1), release(), set_up(2)] {
+        assert!(links.post(AT, message, 0));
+    }
+    assert_eq!(links.take_waiting(AT), [CallId(1), CallId(2)]);
+    links.post(AT, set_up(3), MS);
+    let (outbox, mut inbox) = conn::channel();
+    links.up(id, outbox, MS);
+    // It is up; what waited goes out a turn later, and can be taken back until then.
+    assert!(links.opens() && inbox.next_now().is_none());
+    assert_eq!(links.take_waiting(AT), [CallId(3)]);
+    assert!(links.open(MS).is_empty() && !links.opens());
+    assert!(matches!(inbox.next_now(), Some(ToServer::Release(CallId(9), _))));
+    for call in [4, 5, 6] {
+        assert!(links.post(AT, set_up(call), 2 * MS));
+    }
+    let begun = inbox.next_now().expect("the first set-up");
+    begun.begins();
+    assert!(!links.withdraw(AT, CallId(4)), "it has left");
+    assert!(links.withdraw(AT, CallId(5)) && !links.withdraw(AT, CallId(5)));
+    assert_eq!(links.take_waiting(AT), [CallId(6)]);
+    assert!(std::iter::from_fn(|| inbox.next_now()).all(|message| message.is_cancelled()));
+    // The one that has left is given up by a word, and one that has not by none.
+    links.post(AT, set_up(7), 3 * MS);
+    links.post(AT, ToServer::GiveUp(CallId(4)), 3 * MS);
+    links.post(AT, ToServer::GiveUp(CallId(7)), 3 * MS);
+    let said: Vec<_> = std::iter::from_fn(|| inbox.next_now()).filter(|said| !said.is_cancelled()).collect();
+    assert!(matches!(said[..], [ToServer::GiveUp(CallId(4))]), "{said:?}");
+}
