Hold images of servers that never report by own late answers, where the settings say so

From the burst on every answer took 2.1 s (p50) of an aim of 1.5 s: servers kept full lines, all answers late. Ruled out: connections (their silence follows the lines), the release gap, the choice of servers (spread 24 of 24). The line at fault: src/controller.rs, Tick: a server that has told nothing of its processor was never pressed. There reports are 'none', so nobody ever tells, and each agent began again a second after a late answer, all together more than the servers take. Settings now tell whether any report can tell of a processor (settings/ unreported: none, or lines alone); only then is a late answer taken for pressure. Sites with reports are as before. The new test of tests/group.rs fails without it (60 nodes: 31.7/s in time of 80/s).

--- a/settings/src/lib.rs
+++ b/settings/src/lib.rs
@@ -81,11 +81,23 @@
         },
         release: time(&facts["clearWaitMs"]),
         t1: time(&facts["t1Ms"]),
+        unreported: is_unreported(&all["report"]),
         marks_retry: flag(&all["clientHabits"]["marksRetry"]),
         home: whole(&facts["homeNo"]),
     }
 }
 
+/// Whether reports of this kind tell nothing of a processor. Where it is not told, they may.
+fn is_unreported(report: &Value) -> bool {
+    let of_lines = |field: &Value| {
+        let mut slots = Report::default();
+        let slot =
+            field.as_str().and_then(|name| report_slot(&mut slots, name)).map(|slot| *slot = Some(1.0));
+        slot.is_none() || slots.free.or(slots.size).is_some()
+    };
+    report["how"] == "none" || report["fields"].as_array().is_some_and(|fields| fields.iter().all(of_lines))
+}
+
 /// The rest of the settings, which only a program on real sockets needs.
 #[derive(Clone, Debug, Default)]
 pub struct Site {
--- a/settings/tests/check.rs
+++ b/settings/tests/check.rs
@@ -92,3 +92,19 @@
     assert_eq!((site.deadlines, site.dial_timeout, site.max_open, site.drain_grace), (vec![0], 0, 0, 0));
     assert!(!limits.cancel && !limits.probes && !limits.retry_after);
 }
+
+#[test]
+fn what_reports_tell_of_processors_is_known_from_the_settings() {
+    let of = |report: Value| site(&json!({"services": [{"name": "query"}], "report": report})).decisions;
+    let unreported = [
+        json!({"how": "none", "fields": ["spare", "total"]}),
+        json!({"how": "none", "fields": ["spare", "lat_ms"]}),
+        json!({"how": "answers", "fields": ["spare", "total"]}),
+        json!({"how": "answers", "fields": ["x0", "x1"]}),
+    ];
+    assert!(unreported.into_iter().all(|report| of(report).unreported));
+    for field in ["rif", "q", "busy", "lat_ms", "allowed", "cut_by", "latency_ms", "qps"] {
+        assert!(!of(json!({"how": "answers", "fields": ["spare", "total", field]})).unreported, "{field}");
+    }
+    assert!(!of(Value::Null).unreported, "not told");
+}
--- a/src/controller.rs
+++ b/src/controller.rs
@@ -328,8 +328,9 @@
                 let held = self.servers.iter().map(|(id, server)| {
                     let image = server.image(now).is_some();
                     let cold = server.warmth(&self.settings.rules, now).is_some();
-                    // A server that has told nothing of its processor holds no image.
-                    let pressed = server.reported && self.wait(server, now) > self.calm;
+                    // A server that has told nothing of its processor holds no image, unless none ever tells.
+                    let tells = server.reported || self.settings.unreported;
+                    let pressed = tells && self.wait(server, now) > self.calm;
                     (*id, pressed, image || cold)
                 });
                 let held: Vec<_> = held.filter(|(_, pressed, image)| *pressed || *image).collect();
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -30,6 +30,8 @@
     pub release: Micros,
     /// A set-up that waits at a processor is sent again after this, then at doubling gaps; 0: never.
     pub t1: Micros,
+    /// Servers tell nothing of their processors but by refusals.
+    pub unreported: bool,
     /// Callers mark their repeats.
     pub marks_retry: bool,
     /// Number of the own exchange, to which nothing is sent.
--- a/tests/group.rs
+++ b/tests/group.rs
@@ -23,18 +23,24 @@
     calls: u64,
     sent: usize,
     answered: usize,
+    /// The server tells of its processor.
+    tells: bool,
 }
 
 impl Group {
     fn new(size: usize) -> Self {
-        let mut config = Settings { group_size: size as u32, ..settings() };
+        Self::at(size, true)
+    }
+
+    fn at(size: usize, tells: bool) -> Self {
+        let mut config = Settings { group_size: size as u32, unreported: !tells, ..settings() };
         config.limits.cancel = false;
         config.classes.iter_mut().for_each(|class| class.hold = HOLD);
         let now = 77 * SECOND;
         let nodes =
             (0..size).map(|node| Controller::new(config.clone(), 31 * node as u64 + 7, now)).collect();
         let (line, standing) = (VecDeque::new(), VecDeque::new());
-        Group { now, nodes, line, standing, done: 0.0, owed: 0.0, calls: 0, sent: 0, answered: 0 }
+        Group { now, nodes, line, standing, done: 0.0, owed: 0.0, calls: 0, sent: 0, answered: 0, tells }
     }
 
     fn tell(&mut self, node: usize, event: Event) {
@@ -81,7 +87,8 @@
             }
             let free = SIZE - self.standing.len() as f64;
             let lines = Report { free: Some(free), size: Some(SIZE), ..Report::default() };
-            let waits = Report { wait_ms: Some(self.line.len() as f64 / pace * 1_000.0), ..lines };
+            let wait_ms = self.tells.then_some(self.line.len() as f64 / pace * 1_000.0);
+            let waits = Report { wait_ms, ..lines };
             while self.line.front().is_some_and(|(_, _, at)| self.now - at >= 3 * SECOND) {
                 let (node, call, _) = self.line.pop_front().expect("there");
                 self.end(node, call, Outcome::Timeout, Report::default());
@@ -192,3 +199,23 @@
         assert!(group.answered as u64 + group.sent as u64 >= group.calls);
     }
 }
+
+/// A server of a site whose reports tell nothing of processors: each node knows only its own late answers. A
+/// burst that leaves a line behind does not keep that line standing, with every answer too late, for as long
+/// as calls come.
+#[test]
+fn a_server_that_tells_nothing_of_its_processor_gets_no_more_than_stands_in_time() {
+    for size in [5, 60, 250] {
+        let mut group = Group::at(size, false);
+        group.list(None);
+        let (_, in_time) = group.run(20 * SECOND, 60.0, 80.0);
+        assert!(in_time > 59.0, "{size} nodes on a quiet day: {in_time} in time");
+        group.run(5 * SECOND, 130.0, 80.0);
+        let (sent, in_time) = group.run(15 * SECOND, 100.0, 80.0);
+        assert!((50.0..95.0).contains(&sent), "{size} nodes send {sent}/s to a server of 80/s");
+        assert!(in_time > 45.0, "{size} nodes: {in_time}/s in time of 80/s");
+        group.run(10 * SECOND, 60.0, 80.0);
+        let (_, in_time) = group.run(5 * SECOND, 60.0, 80.0);
+        assert!(in_time > 55.0, "{size} nodes after it: {in_time} in time");
+    }
+}
