--- a/agent/src/front/m3ua/sockets/tests.rs
+++ b/agent/src/front/m3ua/sockets/tests.rs
@@ -11,22 +11,6 @@
 use crate::ports::dispatch::Dispatch;
 use crate::ports::Shared;
 
-fn shared() -> Shared {
-    Shared {
-        clock: Clock::start(),
-        pool: Default::default(),
-        site: Rc::default(),
-        inputs: mpsc::channel(1).0,
-        unreadable: Rc::default(),
-        calls: Rc::default(),
-        unwritten: Rc::default(),
-        tallies: Rc::default(),
-        fleet: Rc::default(),
-        copies: Rc::default(),
-        heard_later: false,
-    }
-}
-
 /// What the peer reads at last is what filled the connection, and of `parts` those that were not cancelled
 /// while they waited: each is an octet, and whether it is cancelled.
 fn left_of(parts: &[(u8, bool)]) -> Vec<u8> {
@@ -36,7 +20,8 @@
         let address = listener.local_addr().expect("bound");
         let (near, far) = tokio::join!(TcpStream::connect(address), listener.accept());
         let (near, (mut far, _)) = (near.expect("it listens"), far.expect("a connection"));
-        let (shared, filler) = (shared(), vec![0; 1 << 16]);
+        let shared = Shared::new(Clock::start(), Rc::default(), mpsc::channel(1).0);
+        let filler = vec![0; 1 << 16];
         let mut filled = 0;
         // What the machine still moves on is filled up again.
         for _ in 0..1_000 {
--- a/agent/src/net/owner/tests.rs
+++ b/agent/src/net/owner/tests.rs
@@ -17,19 +17,7 @@
     let class = steprelay_decisions::Class { aim: 1_000_000, repeatable: true, ..Default::default() };
     let decisions = Settings { group_size: 1, classes: vec![class], ..Settings::default() };
     let site = Site { decisions, class_names: vec!["standard-check".into()], ..Site::default() };
-    let shared = Shared {
-        clock: Clock::start(),
-        pool: Default::default(),
-        site: Rc::new(site.clone()),
-        inputs: mpsc::channel(1).0,
-        unreadable: Rc::default(),
-        calls: Rc::default(),
-        unwritten: Rc::default(),
-        tallies: Rc::default(),
-        fleet: Rc::default(),
-        copies: Rc::default(),
-        heard_later: false,
-    };
+    let shared = Shared::new(Clock::start(), Rc::new(site.clone()), mpsc::channel(1).0);
     let now = shared.clock.now();
     let core = Core::new(site, Bounds { connections: 8, connections_of_one: 8, bytes: 1 << 20 }, 7, now);
     let mut owner = Owner::new(core, shared, Rc::new(|_, _| {}));
--- a/agent/src/ports/mod.rs
+++ b/agent/src/ports/mod.rs
@@ -275,6 +275,22 @@
 }
 
 impl Shared {
+    pub fn new(clock: Clock, site: Rc<Site>, inputs: mpsc::Sender<Input>) -> Self {
+        Shared {
+            clock,
+            pool: Pool::default(),
+            site,
+            inputs,
+            unreadable: Rc::default(),
+            calls: Rc::default(),
+            unwritten: Rc::default(),
+            tallies: Rc::default(),
+            fleet: Rc::default(),
+            copies: Rc::default(),
+            heard_later: false,
+        }
+    }
+
     pub fn tally(&self, count: impl FnOnce(&mut Tallies)) {
         let mut tallies = self.tallies.get();
         count(&mut tallies);
--- a/agent/src/serve.rs
+++ b/agent/src/serve.rs
@@ -24,7 +24,6 @@
 use crate::net::owner::Owner;
 use crate::ops;
 use crate::ports::clock::Clock;
-use crate::ports::pool::Pool;
 use crate::ports::{Input, LinkId, Shared, Way};
 use crate::snmp::{self, SnmpConfig};
 
@@ -59,19 +58,8 @@
     let (inputs, queue) = mpsc::channel(INPUTS);
     let site = Rc::new(config.site);
     let calls = Rc::new(Cell::new(config.seed ^ clock.now() as u64));
-    let shared = Shared {
-        clock,
-        pool: Pool::default(),
-        site: site.clone(),
-        inputs,
-        unreadable: Rc::default(),
-        calls,
-        unwritten: Rc::default(),
-        tallies: Rc::default(),
-        fleet: Rc::default(),
-        copies: Rc::default(),
-        heard_later: fleet.as_ref().is_some_and(|fleet| fleet.copies.is_some()),
-    };
+    let heard_later = fleet.as_ref().is_some_and(|fleet| fleet.copies.is_some());
+    let shared = Shared { calls, heard_later, ..Shared::new(clock, site.clone(), inputs) };
     let m3ua = m3ua.map(|named| m3ua::start(named, shared.clone(), &config.name)).transpose()?;
     let mut terminate = signal(SignalKind::terminate())?;
     let stop = shared.inputs.clone();
--- a/agent/tests/m3ua.rs
+++ b/agent/tests/m3ua.rs
@@ -243,8 +243,11 @@
 
 /// The program with one server of the platform, and this file; and where it listens for M3UA.
 fn start(servers: &[SocketAddr], m3ua: String) -> (Agent, SocketAddr) {
-    let mut setting = Setting::new(servers);
-    setting.m3ua = Some(m3ua);
+    with_front(Setting::new(servers), m3ua)
+}
+
+fn with_front(mut setting: Setting, text: String) -> (Agent, SocketAddr) {
+    setting.m3ua = Some(text);
     let mut agent = setting.start();
     let address = agent.logged("serving M3UA on ").parse().expect("an address");
     (agent, address)
@@ -1022,20 +1025,12 @@
     }
 }
 
-fn with_front(mut setting: Setting, text: String) -> (Agent, SocketAddr) {
-    setting.settings["policyLimits"]["dialTimeoutMs"] = json!(60_000);
-    setting.m3ua = Some(text);
-    let mut agent = setting.start();
-    let address = agent.logged("serving M3UA on ").parse().expect("an address");
-    (agent, address)
-}
-
 #[test]
 fn a_client_that_leaves_as_its_set_up_is_refused_or_its_gap_ends_gets_no_further_attempt() {
     for leaves in PeerLeaves::ALL {
         for refused in [true, false] {
             let (one, two) = (Server::new(), Server::new());
-            let (agent, address) = with_front(Setting::new(&[one.address, two.address]), m3ua(None, 9000));
+            let (agent, address) = start(&[one.address, two.address], m3ua(None, 9000));
             let (mut at_one, mut at_two) = (one.accept(), two.accept());
             let mut client = Peer::active(address);
             client.data(&iam(5, 10, ""));
@@ -1065,7 +1060,9 @@
     for leaves in PeerLeaves::ALL {
         let mut narrow = Narrow::new();
         narrow.fill();
-        let (agent, address) = with_front(Setting::new(&[narrow.server.address]), m3ua(None, 9000));
+        let mut setting = Setting::new(&[narrow.server.address]);
+        setting.settings["policyLimits"]["dialTimeoutMs"] = json!(60_000);
+        let (agent, address) = with_front(setting, m3ua(None, 9000));
         let mut client = Peer::active(address);
         client.data(&iam(5, 10, ""));
         client.say(BEAT, &[(9, b"after it")]);
@@ -1081,7 +1078,7 @@
 #[test]
 fn a_client_that_was_away_as_its_set_up_was_refused_hears_so_when_it_is_back() {
     let (one, two) = (Server::new(), Server::new());
-    let (agent, address) = with_front(Setting::new(&[one.address, two.address]), m3ua(None, 9000));
+    let (agent, address) = start(&[one.address, two.address], m3ua(None, 9000));
     let (mut at_one, mut at_two) = (one.accept(), two.accept());
     let mut client = Peer::active(address);
     client.data(&iam(5, 10, ""));
