--- a/Makefile
+++ b/Makefile
@@ -33,6 +33,7 @@
 	cargo run -p steprelay-rig --bin guards -- copies/guards.toml
 	cargo run -p steprelay-rig --bin guards -- fleet/guards.toml
 	cargo run -p steprelay-rig --bin guards -- agent/guards.toml
+	cargo run -p steprelay-rig --bin guards -- agent/crossings.toml
 
 # The processor time of a call without a fleet against that of another commit: `make before BASE=HEAD~1`.
 BASE ?= HEAD
