--- a/agent/src/ports/conn.rs
+++ b/agent/src/ports/conn.rs
@@ -312,3 +312,6 @@
     }
     Ok(())
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/agent/src/ports/conn/tests.rs
@@ -0,0 +1,74 @@
+//! The writer of a connection that takes little at once.
+
+use socket2::SockRef;
+use tokio::io::AsyncReadExt;
+use tokio::net::TcpListener;
+use tokio::task::yield_now;
+use tokio::time::timeout;
+
+use super::*;
+use crate::ports::dispatch::Dispatch;
+
+/// A number in a hundred octets.
+struct Word(u16, Dispatch);
+
+impl Weight for Word {
+    fn weight(&self) -> usize {
+        100
+    }
+
+    fn is_cancelled(&self) -> bool {
+        self.1.is_cancelled()
+    }
+
+    fn begins(&self) {
+        self.1.begin();
+    }
+}
+
+/// The connection takes less than a buffer at a time: what it does not take waits, goes out in order and
+/// once, and is not sent where it is cancelled meanwhile.
+#[test]
+fn what_a_connection_does_not_take_waits_and_can_be_cancelled() {
+    const WORDS: u16 = 1_000;
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
+    runtime.block_on(async {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+        SockRef::from(&listener).set_recv_buffer_size(4096).expect("settable");
+        let address = listener.local_addr().expect("bound");
+        let (near, far) = tokio::join!(TcpStream::connect(address), listener.accept());
+        let (near, (mut far, _)) = (near.expect("it listens"), far.expect("a connection"));
+        SockRef::from(&near).set_send_buffer_size(4096).expect("settable");
+        let (outbox, mut inbox) = channel();
+        let dispatches: Vec<_> = (0..WORDS).map(|_| Dispatch::default()).collect();
+        for (number, dispatch) in (0..).zip(&dispatches) {
+            assert!(outbox.post(Word(number, dispatch.clone())));
+        }
+        let pool = Pool::default();
+        let encode = |word: &Word, buffer: &mut Buffer| {
+            io::Write::write_all(buffer, &[&word.0.to_be_bytes()[..], &[0; 98]].concat())
+        };
+        let left_out = |_: &Word| Ok(ControlFlow::Continue(()));
+        let writing = write_posted(&near, &pool, &mut inbox, encode, left_out, |_| {});
+        let reading = async {
+            // The writing has begun by now, and waits.
+            for _ in 0..50 {
+                yield_now().await;
+            }
+            let left = dispatches.iter().filter(|dispatch| dispatch.has_begun()).count();
+            assert!((1..500).contains(&left), "{left}");
+            assert!(dispatches[left..].iter().step_by(2).all(Dispatch::cancel));
+            let stays = |number: &u16| !dispatches[usize::from(*number)].is_cancelled();
+            let expected: Vec<u16> = (0..WORDS).filter(stays).collect();
+            let mut bytes = vec![0; 100 * expected.len()];
+            let read = timeout(Duration::from_secs(10), far.read_exact(&mut bytes)).await;
+            read.expect("all that stays comes").expect("readable");
+            let words = bytes.chunks(100).map(|word| u16::from_be_bytes([word[0], word[1]]));
+            assert_eq!(words.collect::<Vec<_>>(), expected);
+        };
+        tokio::select! {
+            _ = writing => panic!("it goes on"),
+            () = reading => {}
+        }
+    });
+}
