Give each voter its own patience, so that elections are not split

By its log the loss was known in 3.5 to 4.2 s, but the next leader, n3, gave the first order 8.2 s after the loss, which is 4.2 s (GRACE) from its election: so that came only 3.9 s after the loss. Ruled out: detection (the members knew by 4.2 s), the takeover itself (0.5 s), and load (virtual time shows the same). The lines at fault: fleet/src/council.rs tick(): patience was a hash of member and term modulo ten ticks, so that two of three voters were alike in a tenth of the terms, and nearly so in more.

--- a/fleet/src/council.rs
+++ b/fleet/src/council.rs
@@ -15,6 +15,8 @@
 /// An election is called after so many ticks without a word of the leader, or up to twice as many.
 const ELECTION_TICKS: usize = 10;
 const HEARTBEAT_TICKS: usize = 2;
+/// The first to ask for votes waits so much longer, so that no other still counts on the leader.
+const FIRST_TICKS: usize = 2;
 /// So many applied entries are folded into a snapshot.
 const FOLD: u64 = 64;
 /// Entries that are on their way to one follower at once, and the bytes of a message.
@@ -255,11 +257,18 @@
     }
 
     pub fn tick(&mut self) {
-        // The engine draws its patience by chance; here it follows from member and term, so that a life
-        // under a fake now can be lived again.
-        let (id, term) = (self.raw.raft.id, self.raw.raft.term);
-        let mixed = (id ^ term.wrapping_mul(0x9e37_79b9_7f4a_7c15)).wrapping_mul(0xbf58_476d_1ce4_e5b9) >> 32;
-        let patience = ELECTION_TICKS + mixed as usize % ELECTION_TICKS;
+        // The engine draws its patience by chance, and two that draw the same split the votes. Here it is by the
+        // place among all voters in an order of the term's: no two are alike, and a life under a fake now can
+        // be lived again.
+        let (own, term) = (self.raw.raft.id, self.raw.raft.term);
+        let draw = |id: u64| {
+            ((id ^ term.wrapping_mul(0x9e37_79b9_7f4a_7c15)).wrapping_mul(0xbf58_476d_1ce4_e5b9) >> 32, id)
+        };
+        let voters = self.voting();
+        let ahead = voters.iter().filter(|id| draw(**id) < draw(own)).count();
+        let apart = (ELECTION_TICKS - FIRST_TICKS) / voters.len().max(1);
+        let patience = ELECTION_TICKS + FIRST_TICKS + ahead * apart.max(1);
+        let patience = patience.min(2 * ELECTION_TICKS - 1);
         self.raw.raft.set_randomized_election_timeout(patience);
         self.raw.tick();
     }
--- a/fleet/tests/fleet.rs
+++ b/fleet/tests/fleet.rs
@@ -194,6 +194,24 @@
     assert_kept(&world);
 }
 
+/// Who takes over what a lost machine promised has its time from the next leader's election on, so that one
+/// comes before the longest patience and some for its votes is over: two never ask for votes at once for ever.
+#[test]
+fn a_leader_that_dies_is_followed_by_the_first_election() {
+    let took = (0..60).map(|seed| {
+        let mut world = whole(200 + seed, 5);
+        world.run(seed * 37);
+        let leader = world.leader().expect("one leads");
+        world.kill(leader);
+        let killed = world.now;
+        let other = |world: &World| world.leader().is_some_and(|now| now != leader);
+        assert!(world.until(20_000, other), "{}", world.logs());
+        world.now - killed
+    });
+    let longest = took.inspect(|took| print!("{took} ")).max();
+    assert!(longest < Some(2_000), "{longest:?} ms");
+}
+
 /// The leader is killed at every step of another machine's work, and comes back: each step is taken once, by
 /// the same grant where one was given and used.
 #[test]
