Take back set-ups that wait for copies, too, where their caller is away

Read line by line: a set-up that is kept until others know of it (agent/src/net/copies.rs hold(), 100 ms at most) is not in any connection's queue yet, so that the owner's Withdraw found nothing to take back, and it left all the same. Only an M3UA client without an association takes set-ups back that way; a close, a cancel and a drain were heeded before. The lines at fault: net/owner.rs say(), Withdraw. The new test has five cases; 'is away' fails without the fix (1 sent).

--- a/agent/src/net/copies.rs
+++ b/agent/src/net/copies.rs
@@ -145,6 +145,11 @@
         }
     }
 
+    /// Takes back a set-up that waits for others.
+    pub fn withdraw(&mut self, call: CallId) -> bool {
+        self.set_ups.remove(&call).is_some()
+    }
+
     /// The answer to a call that waits, where something else is about to be said to its caller.
     pub fn answer_first(&mut self, call: CallId) -> Option<Effect> {
         Some(self.answers.remove(&call)?.effect)
--- a/agent/src/net/owner.rs
+++ b/agent/src/net/owner.rs
@@ -593,7 +593,8 @@
                 self.links.post(server, ToServer::GiveUp(call), now);
             }
             Effect::Withdraw { server, call } => {
-                if self.links.withdraw(server, call) {
+                let waited = self.copies.as_mut().is_some_and(|copies| copies.withdraw(call));
+                if waited || self.links.withdraw(server, call) {
                     self.core.not_sent(now, server, call);
                 }
             }
--- a/agent/src/net/owner/tests.rs
+++ b/agent/src/net/owner/tests.rs
@@ -2,7 +2,7 @@
 
 use super::*;
 use crate::ports::clock::Clock;
-use crate::ports::conn::{self, Inbox};
+use crate::ports::conn::{self, Inbox, Weight};
 use crate::ports::copies::Lease;
 use std::sync::Arc;
 use steprelay_core::{Bounds, Request};
@@ -30,20 +30,23 @@
     owner.take(Input::LinkUp { link, outbox });
     let (outbox, inbox) = conn::channel();
     owner.take(Input::ClientOpened { client, peer: None, outbox });
-    let request = Request {
-        call: CALL,
+    owner.take(Input::Offer { client, request: request(CALL, now) });
+    owner.carry_out();
+    (owner, inbox, link, to_server)
+}
+
+fn request(call: CallId, came: Micros) -> Request {
+    Request {
+        call,
         class: 0,
         tenant: 0,
         dest: None,
         number: "".into(),
         description: "v=0".into(),
-        came: now,
+        came,
         left: 5_000_000,
         was_cut: false,
-    };
-    owner.take(Input::Offer { client, request });
-    owner.carry_out();
-    (owner, inbox, link, to_server)
+    }
 }
 
 fn ended(link: LinkId) -> Input {
@@ -114,6 +117,44 @@
     assert_eq!(heard(&mut to_server), 1);
 }
 
+/// A set-up that waits for others to know of it has not left.
+#[test]
+fn a_set_up_that_waits_for_copies_does_not_leave_once_its_caller_or_server_has_gone() {
+    type Leaves = fn(ClientId) -> Vec<Input>;
+    let drained: Leaves = |_| {
+        let entry = Entry { server: SERVER, started: None, number: 0, state: Readiness::Draining };
+        let servers = vec![(entry, Way::Platform(([127, 0, 0, 1], 1).into()))];
+        vec![Input::Listed { source: Source::Board, kind: ListKind::Changes, servers }]
+    };
+    let cases: [(&str, Leaves, usize); 5] = [
+        ("stays", |_| Vec::new(), 1),
+        ("closes", |client| vec![Input::ClientClosed { client }], 0),
+        (
+            "cancels",
+            |client| vec![Input::ClientEnded { client, call: CallId(8), cause: ReleaseCause::NORMAL }],
+            0,
+        ),
+        ("is away", |client| vec![Input::ClientAway { client, away: true }], 0),
+        ("stays, its server drains", drained, 0),
+    ];
+    for (case, leaves, sent) in cases {
+        let (mut owner, _inbox, _, mut to_server, _) = with_copies();
+        hears(&mut owner, News::Short(false));
+        let (client, now) = (ClientId(1), owner.shared.clock.now());
+        owner.take(Input::Offer { client, request: request(CallId(8), now) });
+        owner.carry_out();
+        let set_ups = |to_server: &mut Inbox<ToServer>| {
+            let sent = std::iter::from_fn(|| to_server.next_now());
+            sent.filter(|word| word.set_up() == Some(CallId(8)) && !word.is_cancelled()).count()
+        };
+        assert_eq!(set_ups(&mut to_server), 0, "{case}: nobody else knows of it");
+        leaves(client).into_iter().for_each(|input| owner.take(input));
+        owner.carry_out();
+        hears(&mut owner, News::Covered(10));
+        assert_eq!(set_ups(&mut to_server), sent, "{case}");
+    }
+}
+
 #[test]
 fn nobody_waits_for_others_that_are_not_there_nor_past_its_time() {
     let (mut owner, mut inbox, link, _to_server, _) = with_copies();
