Let cold servers without told lines get more as own calls show what they take

Seen: tests/cold.rs now has two sites whose servers tell no lines (a wait alone, or nothing). The lines at fault: src/controller.rs cold_bound(): only told lines could show what an unknown server takes. Now own calls do, which summed over all processes are the same.

--- a/src/controller.rs
+++ b/src/controller.rs
@@ -623,9 +623,9 @@
     }
 
     /// What this node may send a cold server: its part of what the server before it took, or of what the
-    /// other servers take for their lines. Where neither is known, as after a start of ours, its lines show
-    /// what it takes now, and that may grow: by no more than leaves room for those who know, of whom there
-    /// may be as many again while processes are replaced.
+    /// other servers take for their lines. Where neither is known, as after a start of ours, its lines or our
+    /// own calls show what it takes now, and that may grow: by no more than leaves room for those who know, of
+    /// whom there may be as many again while processes are replaced.
     fn cold_bound(&self, server: &Server, part: f64, now: Micros) -> f64 {
         let size = |server: &Server| server.lines.map_or(1.0, |lines| (lines.free + lines.standing).max(1.0));
         let of_others = || {
@@ -639,8 +639,12 @@
             // What was told before its start, or came late, is forgotten by then.
             let started = server.started.max(server.restart_seen).unwrap_or(now);
             let grows = GROWTH.min(COLD_PART * self.settings.rules.fall_multiple - 1.0);
-            let lines = server.lines.filter(|_| grows > 1.0 && now >= started + 2 * PACE_OVER);
-            lines.map_or(0.0, |lines| grows * lines.pace)
+            let shows = grows > 1.0 && now >= started + 2 * PACE_OVER;
+            if shows {
+                grows * self.pace(server, now)
+            } else {
+                0.0
+            }
         };
         known.map_or_else(takes, |pace| part * pace).max(TRICKLE) * self.share(now)
     }
--- a/tests/cold.rs
+++ b/tests/cold.rs
@@ -25,9 +25,10 @@
     worth: f64,
     one_in: u64,
     tells_wait: bool,
+    tells_lines: bool,
 }
 
-const SITES: [Site; 3] = [
+const SITES: [Site; 5] = [
     Site {
         takes: 80.0,
         lines: 2_000.0,
@@ -39,6 +40,7 @@
         worth: 8.0,
         one_in: 16,
         tells_wait: false,
+        tells_lines: true,
     },
     Site {
         takes: 20.0,
@@ -51,6 +53,7 @@
         worth: 3.0,
         one_in: 4,
         tells_wait: true,
+        tells_lines: true,
     },
     Site {
         takes: 9.0,
@@ -63,6 +66,34 @@
         worth: 9.0,
         one_in: 10,
         tells_wait: true,
+        tells_lines: true,
+    },
+    // Nobody tells of lines: only the wait is told, or nothing at all.
+    Site {
+        takes: 25.0,
+        lines: 400.0,
+        start_capacity: 0.35,
+        ramp: 15 * SECOND,
+        fall_multiple: 2.5,
+        fall: 2_000 * MS,
+        hold: 9 * SECOND,
+        worth: 5.0,
+        one_in: 16,
+        tells_wait: true,
+        tells_lines: false,
+    },
+    Site {
+        takes: 40.0,
+        lines: 400.0,
+        start_capacity: 0.3,
+        ramp: 12 * SECOND,
+        fall_multiple: 3.0,
+        fall: 1_500 * MS,
+        hold: 5 * SECOND,
+        worth: 4.0,
+        one_in: 8,
+        tells_wait: false,
+        tells_lines: false,
     },
 ];
 
@@ -232,6 +263,9 @@
         let free = self.site.lines - self.standing.len() as f64;
         let wait = self.line.len() as f64 / (self.part(self.now) * self.site.takes) * 1_000.0;
         let wait_ms = self.site.tells_wait.then_some(wait);
+        if !self.site.tells_lines {
+            return Report { wait_ms, ..Report::default() };
+        }
         Report { free: Some(free), size: Some(self.site.lines), wait_ms, ..Report::default() }
     }
 
@@ -341,7 +375,7 @@
             Start::Before => (0.25, 0.3),
             Start::Beside => (0.15, 0.25),
             Start::Apart => (0.1, 0.2),
-            Start::Together => (0.0, [0.08, 0.3, 0.03][place]),
+            Start::Together => (0.0, [0.08, 0.3, 0.03, 0.1, 0.3][place]),
         };
         assert!(least >= enough && median > usual, "{case}: sent {least:.2}, {median:.2}");
     }
