Believe a told wait no longer than an image lasts

Ruled out: shunning (0 failures), its connection (up), set-ups that are out (none). The lines at fault: src/controller.rs report() and ended(): a wait of hours counted for hours, and who sends nothing hears nothing. Now no more than 6 s are believed, as long as an image lasts after the last report. The new test fails without it, by a report and by a refusal.

--- a/fleet/src/council.rs
+++ b/fleet/src/council.rs
@@ -257,9 +257,9 @@
     }
 
     pub fn tick(&mut self) {
-        // The engine draws its patience by chance, and two that draw the same split the votes. Here it is by the
-        // place among all voters in an order of the term's: no two are alike, and a life under a fake now can
-        // be lived again.
+        // The engine draws its patience by chance, and two that draw the same split the votes. Here it is by
+        // the place among all voters in an order of the term's: no two are alike, and a life under a fake now
+        // can be lived again.
         let (own, term) = (self.raw.raft.id, self.raw.raft.term);
         let draw = |id: u64| {
             ((id ^ term.wrapping_mul(0x9e37_79b9_7f4a_7c15)).wrapping_mul(0xbf58_476d_1ce4_e5b9) >> 32, id)
--- a/fleet/tests/fleet.rs
+++ b/fleet/tests/fleet.rs
@@ -195,7 +195,7 @@
 }
 
 /// Who takes over what a lost machine promised has its time from the next leader's election on, so that one
-/// comes before the longest patience and some for its votes is over: two never ask for votes at once for ever.
+/// comes before the longest patience and some for its votes is over: no two ask for votes at once.
 #[test]
 fn a_leader_that_dies_is_followed_by_the_first_election() {
     let took = (0..60).map(|seed| {
--- a/src/controller.rs
+++ b/src/controller.rs
@@ -624,8 +624,8 @@
     }
 
     /// What this node may send a cold server: its part of what the server before it took, or of what the
-    /// other servers take for their lines. Where neither is known, as after a start of ours, its lines or our
-    /// own calls show what it takes now, and that may grow: by no more than leaves room for those who know, of
+    /// other servers take for their lines. Where neither is known, as after a start of ours, its lines or own
+    /// calls show what it takes now, and that may grow: by no more than leaves room for those who know, of
     /// whom there may be as many again while processes are replaced.
     fn cold_bound(&self, server: &Server, part: f64, now: Micros) -> f64 {
         let size = |server: &Server| server.lines.map_or(1.0, |lines| (lines.free + lines.standing).max(1.0));
@@ -715,7 +715,8 @@
         });
         let busy = usable(report.busy).map(|busy| if busy > 0.95 { held(busy - 0.5) } else { 0.0 });
         if let Some(wait) = [wait, asked].into_iter().flatten().reduce(f64::max).or(short).or(busy) {
-            server.wait = wait as Micros;
+            // A processor that hangs tells of hours; nobody knows what it takes when an image has lapsed.
+            server.wait = (wait as Micros).min(DURATION);
             server.wait_at = now;
             server.reported = true;
             let pressed = server.wait as f64 > self.calm;
@@ -857,7 +858,7 @@
             state.out.remove(&(sent, id));
             match (outcome, cause) {
                 (Outcome::Full, Cause::ProcessorFull { wait }) => {
-                    state.wait = state.wait.max(wait.unwrap_or(0)).max(severe as Micros);
+                    state.wait = state.wait.max(wait.unwrap_or(0)).max(severe as Micros).min(DURATION);
                     state.wait_at = now;
                     pressed = true;
                 }
--- a/tests/gapping.rs
+++ b/tests/gapping.rs
@@ -189,6 +189,27 @@
     assert_eq!(stand.controller.bound(stand.now, id_of(0)), None, "18 a second keep 180 standing for 10 s");
 }
 
+/// A processor that hangs tells of a wait of hours, by a report or with a refusal. Calls try it again once an
+/// image would have lapsed, since nobody would ever hear that it is well.
+#[test]
+fn a_wait_of_hours_is_believed_no_longer_than_an_image_lasts() {
+    for by_report in [true, false] {
+        let mut stand = Stand::new(settings(), 1);
+        stand.load(0, 10, 100 * MS, 10 * MS);
+        if by_report {
+            stand.report(id_of(0), wait(4.6e9));
+        } else {
+            let (id, actions) = stand.call(0, 0);
+            assert_eq!(sent(&actions), Some(id_of(0)));
+            let cause = Cause::ProcessorFull { wait: Some(3_600 * SECOND) };
+            stand.ended(id, id_of(0), Outcome::Full, cause);
+        }
+        assert_eq!(sent(&stand.call(0, 0).1), None, "by report: {by_report}");
+        stand.pass(8 * SECOND);
+        assert_eq!(sent(&stand.call(0, 0).1), Some(id_of(0)), "by report: {by_report}");
+    }
+}
+
 #[test]
 fn nothing_is_kept_of_a_server_that_is_gone() {
     let mut stand = Stand::new(settings(), 2);
@@ -207,8 +228,8 @@
 #[test]
 fn what_is_redrawn_keeps_to_what_a_small_server_said_it_can_take() {
     // A large server drains; the small one has many free lines, and has told of no pressure. Calls for the
-    // large one come at 60 a second. Where nothing is told, free lines are room; but not where nothing ever is
-    // told of processors.
+    // large one come at 60 a second. Where nothing is told, free lines are room; but not where nothing is
+    // ever told of processors.
     for (allowed, unreported, expected) in
         [(Some(20.0), false, 10..=30), (None, false, 51..=60), (None, true, 5..=12)]
     {
