Read how long a full processor's wait is, and take reports for what the settings say

Seen by reading: front/platform/message.rs noted() told the decisions of no wait, ever, while the simulator's adapter does; report() took any figure that is known, so that one which the settings do not name could move a bound. Tables of lines, and a story on sockets, which fails where any figure is taken.

--- a/agent/src/front/platform/message.rs
+++ b/agent/src/front/platform/message.rs
@@ -5,6 +5,7 @@
 
 use steprelay_core::ReleaseCause;
 use steprelay_decisions::{CallId, Cause, Report};
+use steprelay_settings::report_slot;
 
 use super::json::{NotJson, Reader};
 use crate::ports::conn::Split;
@@ -21,6 +22,7 @@
     pub key: Option<Cow<'a, str>>,
     pub extras: Option<Cow<'a, str>>,
     pub note: Option<Cow<'a, str>>,
+    pub waited: Option<Cow<'a, str>>,
     pub load: Option<Cow<'a, str>>,
     pub why: Option<u8>,
     pub description: Option<Cow<'a, str>>,
@@ -71,6 +73,7 @@
                         "key" => message.key = value,
                         "extras" => message.extras = value,
                         "note" => message.note = value,
+                        "waited" => message.waited = value,
                         "load" => message.load = value,
                         _ => {}
                     }
@@ -94,21 +97,31 @@
         ReleaseCause(self.why.unwrap_or(ReleaseCause::UNSPECIFIED.0))
     }
 
-    pub fn report(&self) -> Report {
-        let mut report = Report::default();
+    /// The report that it carries, of figures that are `told` of, and how many others were in it: figures that
+    /// nobody was told of, and some that cannot be. Those count for nothing.
+    pub fn report(&self, told: Option<Report>) -> (Report, u64) {
+        let (mut report, mut unfit) = (Report::default(), 0);
         for (name, value) in self.load.as_deref().map(pairs).into_iter().flatten() {
-            if let Some(slot) = steprelay_settings::report_slot(&mut report, name) {
-                *slot = value.parse().ok();
+            let is_told =
+                told.is_none_or(|mut told| report_slot(&mut told, name).is_some_and(|slot| slot.is_some()));
+            let figure = value.parse().ok().filter(|figure: &f64| figure.is_finite() && *figure >= 0.0);
+            match report_slot(&mut report, name).filter(|_| is_told && figure.is_some()) {
+                Some(slot) => *slot = figure,
+                None => unfit += 1,
             }
         }
-        report
+        (report, unfit)
     }
 
     pub fn noted(&self) -> Cause {
         match self.note.as_deref() {
             Some("blocked") => Cause::NoLine,
             Some("bounced" | "far_swamped") => Cause::TurnedBack,
-            Some("swamped") => Cause::ProcessorFull { wait: None },
+            Some("swamped") => {
+                let wait = self.waited.as_deref().and_then(|text| text.parse().ok());
+                let wait = wait.filter(|wait: &f64| wait.is_finite() && *wait >= 0.0);
+                Cause::ProcessorFull { wait: wait.map(steprelay_settings::micros) }
+            }
             Some("occupied") => Cause::NumberBusy,
             _ => Cause::Untold,
         }
@@ -174,3 +187,6 @@
     buffer.write_all(&text.as_bytes()[plain..])?;
     buffer.write_all(b"\"")
 }
+
+#[cfg(test)]
+mod tests;
--- a/agent/src/front/platform/servers.rs
+++ b/agent/src/front/platform/servers.rs
@@ -101,7 +101,7 @@
 ) -> io::Result<()> {
     while let Some(line) = incoming.next().await? {
         let own = (!shared.heard_later).then_some(own);
-        let input = Message::read(line).and_then(|message| heard(&message, link, own));
+        let input = Message::read(line).and_then(|message| heard(&message, link, own, shared));
         let input = input.map_err(|_| io::ErrorKind::InvalidData)?;
         if shared.inputs.send(input).await.is_err() {
             return Ok(());
@@ -112,8 +112,16 @@
 
 /// What a server says. Where it can't be one of its messages, whatever follows on the connection can't be
 /// trusted either, and what was to come may never come.
-fn heard(message: &Message, link: LinkId, own: Option<&Outbox<ToServer>>) -> Result<Input, Unreadable> {
-    let report = message.report();
+fn heard(
+    message: &Message,
+    link: LinkId,
+    own: Option<&Outbox<ToServer>>,
+    shared: &Shared,
+) -> Result<Input, Unreadable> {
+    let (report, unfit) = message.report(shared.site.reported);
+    if unfit > 0 {
+        shared.tally(|tallies| tallies.unfit_figures += unfit);
+    }
     if message.op == "group" {
         return Ok(Input::Reported { link, report });
     }
--- a/agent/src/ops/line.rs
+++ b/agent/src/ops/line.rs
@@ -87,6 +87,7 @@
     put("targets_disabled", figures.targets_disabled as u64);
     put("reloads.taken", figures.tallies.reloads_taken);
     put("reloads.refused", figures.tallies.reloads_refused);
+    put("reports.unfit", figures.tallies.unfit_figures);
     if let Some(fleet) = &figures.fleet {
         for (name, value) in fleet_figures(fleet) {
             put(&format!("fleet.{name}"), value);
--- a/agent/src/ports/mod.rs
+++ b/agent/src/ports/mod.rs
@@ -241,6 +241,8 @@
     /// Configurations that SIGHUP had read again.
     pub reloads_taken: u64,
     pub reloads_refused: u64,
+    /// Figures in servers' reports that the settings do not name, or that cannot be.
+    pub unfit_figures: u64,
 }
 
 /// What every task of a connection needs.
--- a/agent/tests/platform.rs
+++ b/agent/tests/platform.rs
@@ -397,6 +397,41 @@
     assert!(asked.elapsed() < Duration::from_secs(30), "not held back until the caller gives up");
 }
 
+/// A report that is not as the settings say is counted, moves no bound and ends nothing; one that is holds
+/// calls back.
+#[test]
+fn a_report_of_what_the_settings_do_not_name_moves_nothing() {
+    for (load, unfit) in [("allowed:0.01;cut_by:1;lat_ms:-5;spare:some;weather:2", 5), ("lat_ms:60000", 0)] {
+        let server = Server::new();
+        let mut setting = Setting::new(&[server.address]);
+        setting.settings["report"] = json!({"how": "answers", "fields": ["spare", "total", "lat_ms"]});
+        setting.settings["services"][0]["sloMs"] = json!(1_500);
+        setting.ops = Some("127.0.0.1:0".into());
+        let mut agent = setting.start();
+        let ops = agent.ops();
+        let (mut caller, mut server) = (agent.caller(), server.accept());
+        caller.offer(1, 9000, 0);
+        server.expect("offer", 1);
+        server.say(accept(1));
+        caller.expect("accept", 1);
+        server.say(json!({"op": "group", "call": hex(0), "with": {"load": load}}));
+        server.say(end(1, 16));
+        server.expect("ended", 1);
+        caller.expect("end", 1);
+        for call in 2..=20 {
+            caller.offer(call, 9000, 0);
+            if unfit == 0 {
+                assert_eq!(caller.expect("end", call)["why"], json!(42), "it is pressed");
+                continue;
+            }
+            server.expect("offer", call);
+            server.say(accept(call));
+            caller.expect("accept", call);
+        }
+        assert_eq!(figure(ops, "reports.unfit"), unfit);
+    }
+}
+
 #[test]
 fn descriptors_stay_within_what_callers_are_allowed() {
     let server = Server::new();
--- a/settings/src/lib.rs
+++ b/settings/src/lib.rs
@@ -114,6 +114,8 @@
     pub max_open: usize,
     /// How long after a notice a draining server may still be sent set-ups.
     pub drain_grace: Micros,
+    /// The figures that reports hold, each set to something; `None` where the settings do not tell.
+    pub reported: Option<Report>,
 }
 
 pub fn site(all: &Value) -> Site {
@@ -131,9 +133,18 @@
         conn_idle: time(&limits["connIdleMs"]),
         max_open: count(&limits["maxOpen"]) as usize,
         drain_grace: time(&all["rules"]["stopSendingWithinMs"]),
+        reported: all["report"]["fields"].as_array().map(|fields| reported(fields)),
     }
 }
 
+fn reported(fields: &[Value]) -> Report {
+    let mut report = Report::default();
+    for slot in fields.iter().filter_map(Value::as_str) {
+        report_slot(&mut report, slot).into_iter().for_each(|slot| *slot = Some(0.0));
+    }
+    report
+}
+
 /// Where a report keeps the figure of this name. The first of each pair is the simulator's name.
 pub fn report_slot<'a>(report: &'a mut Report, name: &str) -> Option<&'a mut Option<f64>> {
     Some(match name {
