--- a/agent/src/front/platform/message.rs
+++ b/agent/src/front/platform/message.rs
@@ -97,8 +97,8 @@
         ReleaseCause(self.why.unwrap_or(ReleaseCause::UNSPECIFIED.0))
     }
 
-    /// The report that it carries, of figures that are `told` of, and how many others were in it: figures that
-    /// nobody was told of, and some that cannot be. Those count for nothing.
+    /// The report that it carries, of figures that are `told` of, and how many others were in it: some that
+    /// the settings do not name, or that cannot be. Those count for nothing.
     pub fn report(&self, told: Option<Report>) -> (Report, u64) {
         let (mut report, mut unfit) = (Report::default(), 0);
         for (name, value) in self.load.as_deref().map(pairs).into_iter().flatten() {
