--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -45,6 +45,29 @@
     }
 }
 
+/// The same deployment otherwise: other times, more attempts, no tenants, another ramp and a longer release.
+pub fn other_settings() -> Settings {
+    let mut other = settings();
+    for (class, (aim, importance)) in other.classes.iter_mut().zip([(1_700 * MS, 1.0), (800 * MS, 4.0)]) {
+        (class.aim, class.importance, class.hold) = (aim, importance, 9 * SECOND);
+    }
+    (other.group_size, other.limits.attempts, other.over_share_worth) = (7, 5, 0.0);
+    other.rules = Rules {
+        ask_every: 0,
+        start_capacity: 0.4,
+        ramp_time: 11 * SECOND,
+        fall_multiple: 3.0,
+        fall: 2_200 * MS,
+    };
+    (other.release, other.t1) = (550 * MS, 850 * MS);
+    other
+}
+
+/// One whose reports tell nothing of processors.
+pub fn unreported_settings() -> Settings {
+    Settings { unreported: true, group_size: 60, release: 200 * MS, ..other_settings() }
+}
+
 pub struct Stand {
     pub now: Micros,
     pub controller: Controller,
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -122,18 +122,17 @@
 }
 
 /// What a legal world may do to a controller, drawn from a seed; panics when a rule is broken.
-fn storm(seed: u64) {
+fn storm(seed: u64, mut config: Settings) {
     let mut random = seed;
     let mut below = move |limit: u64| {
         random = random.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1_442_695_040_888_963_407);
         (random >> 33) % limit
     };
-    let mut config = settings();
     config.limits.cancel = below(4) > 0;
     config.limits.retry_after = below(2) == 0;
     config.limits.max_retry_after = 2 * SECOND;
-    config.release = [0, 200 * MS, 300 * MS][below(3) as usize];
-    config.t1 = [0, 500 * MS][below(2) as usize];
+    config.release = [0, 200 * MS, config.release][below(3) as usize];
+    config.t1 = [0, config.t1][below(2) as usize];
     let release = config.release;
     let attempts = config.limits.attempts;
     let servers = 1 + below(4) as u32;
@@ -281,8 +280,10 @@
 
 #[test]
 fn the_rules_hold_in_storms() {
-    for seed in 0..40 {
-        storm(seed);
+    let kinds: [(fn() -> Settings, u64); 3] =
+        [(settings, 40), (other_settings, 15), (unreported_settings, 15)];
+    for (kind, seeds) in kinds {
+        (0..seeds).for_each(|seed| storm(seed, kind()));
     }
 }
 
