--- a/agent/tests/platform.rs
+++ b/agent/tests/platform.rs
@@ -539,7 +539,7 @@
 #[test]
 fn discovery_and_servers_are_reached_though_idle_clients_fill_the_descriptors() {
     for from_the_start in [true, false] {
-        let (many, two, board) = ([(); 20].map(|()| Server::new()), Server::new(), Server::on("127.0.0.3:0"));
+        let (many, two, board) = ([(); 26].map(|()| Server::new()), Server::new(), Server::on("127.0.0.3:0"));
         let mut setting = Setting::new(&[]);
         setting.servers = (3..).zip(many.iter().map(|server| server.address)).collect();
         (setting.board, setting.sockets) = (Some(board.address), 96);
@@ -551,6 +551,7 @@
             let (mut events, _) = board.listener.accept().expect("a connection");
             bytes(&mut events, 8);
         }
+        let began = Instant::now();
         // Half of them say something that makes sense first.
         let mut idle: Vec<_> = (0..150).map(|machine| agent.caller_from(machine)).collect();
         for client in idle.iter_mut().rev().step_by(2).take(10) {
@@ -569,6 +570,7 @@
         at_two.expect("offer", 1);
         at_two.say(accept(1));
         usual.expect("accept", 1);
+        assert!(began.elapsed() < Duration::from_secs(5), "it waits for idle ones to be let go");
         assert!(agent.descriptors() <= 96, "{} are open", agent.descriptors());
     }
 }
