--- a/agent/src/front/platform/message.rs
+++ b/agent/src/front/platform/message.rs
@@ -104,7 +104,7 @@
         for (name, value) in self.load.as_deref().map(pairs).into_iter().flatten() {
             let is_told =
                 told.is_none_or(|mut told| report_slot(&mut told, name).is_some_and(|slot| slot.is_some()));
-            let figure = value.parse().ok().filter(|figure: &f64| figure.is_finite() && *figure >= 0.0);
+            let figure = figure(value);
             match report_slot(&mut report, name).filter(|_| is_told && figure.is_some()) {
                 Some(slot) => *slot = figure,
                 None => unfit += 1,
@@ -118,8 +118,7 @@
             Some("blocked") => Cause::NoLine,
             Some("bounced" | "far_swamped") => Cause::TurnedBack,
             Some("swamped") => {
-                let wait = self.waited.as_deref().and_then(|text| text.parse().ok());
-                let wait = wait.filter(|wait: &f64| wait.is_finite() && *wait >= 0.0);
+                let wait = self.waited.as_deref().and_then(figure);
                 Cause::ProcessorFull { wait: wait.map(steprelay_settings::micros) }
             }
             Some("occupied") => Cause::NumberBusy,
@@ -132,6 +131,11 @@
     text.split(';').filter_map(|pair| pair.split_once(':'))
 }
 
+/// A figure that can be: a number from 0 on.
+fn figure(text: &str) -> Option<f64> {
+    text.parse().ok().filter(|figure: &f64| figure.is_finite() && *figure >= 0.0)
+}
+
 fn call_id(text: &str) -> Option<CallId> {
     let hex = text.len() == 16 && text.bytes().all(|byte| byte.is_ascii_hexdigit());
     hex.then(|| u64::from_str_radix(text, 16).ok().map(CallId)).flatten()
