Trace why a set-up did not leave, what became of connections, and late turns of the owner

A refused call could not be told apart by its trace: whether its server was avoided for failures, held an image, or could not be reached. LB_TRACE=calls now says which attempts never left or went with a connection, when connections and associations come and go, and which turns of the owner took or began over 20 ms late; a ready server that is avoided has a "!".

The tests' program has its log read as it comes: a trace of more than a pipe takes would have stopped it.

--- a/agent/src/front/m3ua/mod.rs
+++ b/agent/src/front/m3ua/mod.rs
@@ -27,6 +27,7 @@
 use crate::ports::conn::{self, Outbox};
 use crate::ports::dispatch::Dispatch;
 use crate::ports::{Input, LinkId, Shared, ToClient, ToServer, Unwritten};
+use crate::trace;
 pub use config::{M3uaConfig, M3uaConfigError};
 pub use kept::KeptError;
 use kept::{Kept, Record};
@@ -220,6 +221,7 @@
         self.came = self.handle.shared.clock.now();
         match told {
             Told::Client(association, outbox) => {
+                trace::association(association.0, "of a client is up");
                 self.outboxes.insert(association, outbox);
                 self.office(Event::ClientOpened(association));
             }
@@ -236,6 +238,7 @@
                 self.office(Event::Received(association, &bytes));
             }
             Told::Closed(association) => {
+                trace::association(association.0, "closed");
                 self.outboxes.remove(&association);
                 for server in &mut self.servers {
                     if let Some(linked) = &mut server.linked {
--- a/agent/src/net/owner.rs
+++ b/agent/src/net/owner.rs
@@ -122,6 +122,7 @@
     }
 
     pub async fn run(mut self, mut queue: mpsc::Receiver<Input>) {
+        let mut began = self.shared.clock.now();
         loop {
             self.keep_links();
             self.tell_pressure();
@@ -136,15 +137,17 @@
             let waits = self.copies.as_ref().is_some_and(Copies::waits);
             let look = (self.stopping.is_some() || starting || waits).then_some(now + LOOK);
             let wake = [self.core.next_wake(), self.links.next_due(), look].into_iter().flatten().min();
-            let wake = self.shared.clock.instant(wake.unwrap_or(now + 1_000_000));
+            let wake = wake.unwrap_or(now + 1_000_000);
             tokio::select! {
                 biased;
                 input = queue.recv() => match input {
                     Some(input) => self.take(input),
                     None => break,
                 },
-                _ = sleep_until(wake) => {}
+                _ = sleep_until(self.shared.clock.instant(wake)) => {}
             }
+            trace::turn(now - began, self.shared.clock.now() - wake);
+            began = self.shared.clock.now();
             self.drain(&mut queue);
             let now = self.shared.clock.now();
             if self.core.sends() || self.links.opens() || self.core.next_wake().is_some_and(|at| at <= now) {
@@ -269,18 +272,17 @@
             }
             Input::ReleaseHeard { client, call } => self.core.release_heard(now, client, call),
             Input::LinkUp { link, outbox } if self.links.is_current(link) => {
+                trace::link(link, "is up");
                 let (both, out) = self.links.up(link, outbox, now);
                 for link in both {
                     self.test(link);
                 }
-                for call in out {
-                    self.core.attempt_lost(now, link.server, call);
-                }
+                self.attempts_lost(now, link.server, out, "went with a connection that another replaced");
             }
             Input::LinkLost { link, loss } if self.links.is_current(link) => {
-                for call in self.links.lost(link, loss, now) {
-                    self.core.attempt_lost(now, link.server, call);
-                }
+                trace::link(link, format_args!("is lost: {loss:?}"));
+                let out = self.links.lost(link, loss, now);
+                self.attempts_lost(now, link.server, out, "went with its connection");
                 if loss != LinkLoss::Dropped {
                     self.core.link_lost(now, link.server, loss);
                 }
@@ -437,9 +439,7 @@
                     (self.dial)(link, way);
                 }
                 Watch::Reset(server, calls) => {
-                    for call in calls {
-                        self.core.attempt_lost(now, server, call);
-                    }
+                    self.attempts_lost(now, server, calls, "went with a connection that stayed silent");
                 }
             }
         }
@@ -448,6 +448,13 @@
         }
     }
 
+    fn attempts_lost(&mut self, now: Micros, server: ServerId, calls: Vec<CallId>, reason: &str) {
+        for call in calls {
+            trace::attempt_ended(server, call, reason);
+            self.core.attempt_lost(now, server, call);
+        }
+    }
+
     /// Tests a connection, where the settings allow it.
     fn test(&mut self, link: LinkId) {
         if !self.shared.site.decisions.limits.probes {
@@ -586,6 +593,7 @@
                 // Its server may have been told to drain since this was decided.
                 let message = ToServer::SetUp(set_up, Dispatch::default());
                 if !self.core.is_ready(server) || !self.links.post(server, message, now) {
+                    trace::attempt_ended(server, call, "not sent: not ready, or no connection takes it");
                     self.core.not_sent(now, server, call);
                 }
             }
--- a/agent/src/trace.rs
+++ b/agent/src/trace.rs
@@ -6,12 +6,12 @@
 use std::time::{SystemTime, UNIX_EPOCH};
 
 use steprelay_core::{Core, Effect, Verdict};
-use steprelay_decisions::{CallId, Micros, Readiness};
+use steprelay_decisions::{CallId, Micros, Readiness, ServerId};
 use tracing::level_filters::LevelFilter;
 use tracing::trace;
 use tracing_subscriber::fmt::{format::Writer, time::FormatTime};
 
-use crate::ports::Input;
+use crate::ports::{Input, LinkId};
 
 /// Why the environment asks for no trace that there is.
 #[derive(Debug, thiserror::Error)]
@@ -57,7 +57,8 @@
     }
 }
 
-/// Ready servers, each with the bound of its image: what a refusal follows from.
+/// Ready servers, each with the bound of its image, and a `!` where failures keep set-ups from it: what a
+/// refusal follows from.
 struct Servers<'a>(&'a Core, Micros);
 
 impl fmt::Display for Servers<'_> {
@@ -68,6 +69,9 @@
                 write!(formatter, "{}", entry.server.0)?;
                 age.map(|age| write!(formatter, "@{age}ms")).transpose()?;
                 bound.map(|bound| write!(formatter, "<{bound:.2}")).transpose()?;
+                if self.0.avoids(self.1, entry.server) {
+                    formatter.write_str("!")?;
+                }
                 formatter.write_str(" ")?;
             }
         }
@@ -104,6 +108,29 @@
     }
 }
 
+/// A set-up ended without a word of its server.
+pub fn attempt_ended(server: ServerId, call: CallId, reason: impl fmt::Display) {
+    trace!("{} {reason}, server {}", Id(call), server.0);
+}
+
+/// What became of a connection to a server.
+pub fn link(link: LinkId, what: impl fmt::Display) {
+    trace!("- connection {} to server {} {what}", link.epoch, link.server.0);
+}
+
+/// What became of an association of the M3UA front.
+pub fn association(number: u64, what: &str) {
+    trace!("- association {number} {what}");
+}
+
+/// How long a turn of the owner took, and how late the next begins.
+pub fn turn(took: Micros, late: Micros) {
+    const LONG: Micros = 20_000;
+    if took >= LONG || late >= LONG {
+        trace!("- turn of the owner took {} ms, the next is {} ms late", took / 1_000, late / 1_000);
+    }
+}
+
 /// What goes out for a call.
 pub fn goes(core: &Core, now: Micros, effect: &Effect) {
     if LevelFilter::current() < LevelFilter::TRACE {
--- a/agent/tests/common/mod.rs
+++ b/agent/tests/common/mod.rs
@@ -6,6 +6,7 @@
 use std::path::PathBuf;
 use std::process::{Child, Command, ExitStatus, Stdio};
 use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::{mpsc, Mutex};
 use std::time::{Duration, Instant};
 
 use serde_json::{json, Value};
@@ -16,7 +17,8 @@
 
 pub struct Agent {
     child: Child,
-    log: BufReader<std::process::ChildStderr>,
+    /// The lines that it logs, read as they come: a full pipe would hold it up.
+    log: Mutex<mpsc::Receiver<String>>,
     pub config: PathBuf,
     pub address: SocketAddr,
 }
@@ -119,8 +121,13 @@
 
     fn run(mut command: Command, config: PathBuf) -> Agent {
         let mut child = command.stderr(Stdio::piped()).spawn().expect("it starts");
-        let log = BufReader::new(child.stderr.take().expect("piped"));
-        let mut agent = Agent { child, log, config, address: SocketAddr::from(([127, 0, 0, 1], 0)) };
+        let stderr = BufReader::new(child.stderr.take().expect("piped"));
+        let (lines, log) = mpsc::channel();
+        std::thread::spawn(move || {
+            stderr.lines().map_while(Result::ok).try_for_each(|line| lines.send(line))
+        });
+        let mut agent =
+            Agent { child, log: Mutex::new(log), config, address: SocketAddr::from(([127, 0, 0, 1], 0)) };
         agent.address = agent.logged("serving on ").parse().expect("an address");
         agent
     }
@@ -144,8 +151,8 @@
     /// Reads its log up to a line that holds this; returns what follows there.
     pub fn logged(&mut self, what: &str) -> String {
         loop {
-            let mut line = String::new();
-            assert!(self.log.read_line(&mut line).expect("readable") > 0, "no line with '{what}'");
+            let line = self.log.get_mut().expect("not poisoned").recv_timeout(PATIENCE);
+            let line = line.unwrap_or_else(|error| panic!("no line with '{what}': {error}"));
             if let Some((_, rest)) = line.split_once(what) {
                 return rest.trim().to_string();
             }
@@ -217,9 +224,8 @@
         let _ = self.child.kill();
         let _ = self.child.wait();
         if std::thread::panicking() {
-            let mut rest = String::new();
-            let _ = self.log.read_to_string(&mut rest);
-            eprintln!("what it said last:\n{rest}");
+            let rest: Vec<String> = self.log.get_mut().expect("not poisoned").iter().collect();
+            eprintln!("what it said last:\n{}", rest.join("\n"));
         }
     }
 }
--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -354,6 +354,11 @@
         self.route.ready(server)
     }
 
+    /// Whether failures keep set-ups from a server for now.
+    pub fn avoids(&self, now: Micros, server: ServerId) -> bool {
+        self.route.avoids(now, server)
+    }
+
     /// Whether a call stands at a server or a set-up is out there.
     pub fn is_busy(&self, server: ServerId) -> bool {
         let out = |pending: &Pending| pending.out.is_some_and(|attempt| attempt.server == server);
--- a/core/src/route.rs
+++ b/core/src/route.rs
@@ -60,6 +60,10 @@
         })
     }
 
+    pub fn avoids(&self, now: Micros, server: ServerId) -> bool {
+        self.controller.avoids(now, server)
+    }
+
     pub fn image(&self, now: Micros, server: ServerId) -> Option<f64> {
         self.controller.bound(now, server)
     }
