Hold nothing against a server that never left for it

What callers saw: after one client's burst all calls to a server were refused as overload (42) for up to 4 s, though it read and answered; call 1388 of a_slow_reader_is_cut_and_stalls_nobody.

Cause: Core::not_sent told the decisions ConnectFailed whatever the reason, and they avoid a server that can't be reached, doubling up to 4 s. The trace has 940 set-ups without room in the send queue as "not sent", and then "ready: 1!" at each refusal, the good caller's 245 ms later among them.

Change: NotSent names the reason. What found no room, was taken back, or was meant for a server that drains is an attempt that never ran; only Unreachable counts.

--- a/agent/src/net/links.rs
+++ b/agent/src/net/links.rs
@@ -7,7 +7,7 @@
 
 use std::collections::BTreeMap;
 
-use steprelay_core::LinkLoss;
+use steprelay_core::{LinkLoss, NotSent};
 use steprelay_decisions::{CallId, Micros, ServerId};
 
 use crate::ports::conn::{Outbox, Weight};
@@ -103,22 +103,25 @@
         }
     }
 
-    fn post(&mut self, message: ToServer, now: Micros) -> bool {
+    fn post(&mut self, message: ToServer, now: Micros) -> Result<(), NotSent> {
         let out = match &message {
             ToServer::SetUp(set_up, dispatch) => Some((set_up.call, dispatch.clone())),
             // One that has not left needs no giving up.
             ToServer::GiveUp(call) if self.out.remove(call).is_some_and(|dispatch| dispatch.cancel()) => {
-                return true;
+                return Ok(());
             }
             _ => None,
         };
         let owes = out.is_some() || matches!(message, ToServer::Probe(_));
-        let posted = self.outbox.post(message);
-        if posted && owes {
+        if !self.outbox.post(message) {
+            let gone = self.outbox.is_closed();
+            return Err(if gone { NotSent::Unreachable } else { NotSent::QueueFull });
+        }
+        if owes {
             self.out.extend(out);
             self.owes.get_or_insert(now);
         }
-        posted
+        Ok(())
     }
 
     /// Takes back a set-up, unless a byte of it has left.
@@ -366,7 +369,7 @@
     }
 
     /// Lets what waited for connections that are up go out; returns the set-ups that they do not take.
-    pub fn open(&mut self, now: Micros) -> Vec<(ServerId, CallId)> {
+    pub fn open(&mut self, now: Micros) -> Vec<(ServerId, CallId, NotSent)> {
         let mut left = Vec::new();
         if !std::mem::take(&mut self.opening) {
             return left;
@@ -376,8 +379,8 @@
                 State::Opening(mut conn, waiting) => {
                     for message in waiting {
                         let call = message.set_up();
-                        if !conn.post(message, now) {
-                            left.extend(call.map(|call| (*server, call)));
+                        if let Err(reason) = conn.post(message, now) {
+                            left.extend(call.map(|call| (*server, call, reason)));
                         }
                     }
                     link.state = State::Up(conn);
@@ -468,9 +471,9 @@
         found
     }
 
-    /// Puts a message on its way; false when it is sure that it does not leave.
-    pub fn post(&mut self, server: ServerId, message: ToServer, now: Micros) -> bool {
-        let Some(link) = self.links.get_mut(&server) else { return false };
+    /// Puts a message on its way; an error says why it is sure that it does not leave.
+    pub fn post(&mut self, server: ServerId, message: ToServer, now: Micros) -> Result<(), NotSent> {
+        let Some(link) = self.links.get_mut(&server) else { return Err(NotSent::Unreachable) };
         if let (ToServer::GiveUp(call), Some(former)) = (&message, &mut link.former) {
             if former.conn.out.contains_key(call) {
                 return former.conn.post(message, now);
@@ -486,9 +489,9 @@
                     }
                     message => waiting.push(message),
                 }
-                true
+                Ok(())
             }
-            State::Down(_) => false,
+            State::Down(_) => Err(NotSent::Unreachable),
         }
     }
 
@@ -508,9 +511,9 @@
     pub fn test(&mut self, id: LinkId, call: CallId, now: Micros) -> bool {
         let Some(link) = self.links.get_mut(&id.server) else { return false };
         match (&mut link.state, &mut link.former) {
-            (State::Up(conn), _) if conn.epoch == id.epoch => conn.post(ToServer::Probe(call), now),
+            (State::Up(conn), _) if conn.epoch == id.epoch => conn.post(ToServer::Probe(call), now).is_ok(),
             (_, Some(former)) if former.conn.epoch == id.epoch => {
-                former.conn.post(ToServer::Probe(call), now)
+                former.conn.post(ToServer::Probe(call), now).is_ok()
             }
             _ => false,
         }
--- a/agent/src/net/links/tests.rs
+++ b/agent/src/net/links/tests.rs
@@ -91,7 +91,7 @@
     let (mut links, mut now) = (links(), 0);
     for round in 1..=3 {
         // One may be silent from its start; the next follows without waiting long.
-        links.post(AT, set_up(round), now);
+        links.post(AT, set_up(round), now).expect("it is up");
         assert!(relief(&mut links, now + SOON - MS).is_none());
         now += RELIEF_PAUSE;
         let second = relief(&mut links, now).expect("the connection has said nothing");
@@ -117,9 +117,9 @@
 fn a_server_that_is_used_to_long_pauses_is_given_time() {
     let mut links = links();
     let first = LinkId { server: AT, epoch: 1 };
-    links.post(AT, set_up(1), 0);
+    links.post(AT, set_up(1), 0).expect("it is up");
     links.heard(first, Some(CallId(1)), false, 400 * MS);
-    links.post(AT, set_up(2), 400 * MS);
+    links.post(AT, set_up(2), 400 * MS).expect("it is up");
     assert!(relief(&mut links, 1_400 * MS).is_none());
     assert!(relief(&mut links, 1_700 * MS).is_some());
 }
@@ -137,18 +137,18 @@
         now += 4_000 * MS;
         for number in 0..20 {
             let asked = now + number * 50 * MS;
-            links.post(quick, set_up(100 + call), asked);
+            links.post(quick, set_up(100 + call), asked).expect("it is up");
             links.heard(other, Some(CallId(100 + call)), false, asked + MS);
         }
         now += 1_000 * MS;
-        links.post(AT, set_up(call), now);
+        links.post(AT, set_up(call), now).expect("it is up");
         let pause = if call % 2 == 1 { 400 } else { 20 };
         if call > 1 {
             assert!(relief(&mut links, now + (pause - 1) * MS).is_none(), "call {call}");
         }
         links.heard(slow, Some(CallId(call)), false, now + pause * MS);
     }
-    links.post(AT, set_up(11), now + 1_000 * MS);
+    links.post(AT, set_up(11), now + 1_000 * MS).expect("it is up");
     assert!(relief(&mut links, now + 2_200 * MS).is_some(), "but three times that is silence");
 }
 
@@ -162,7 +162,7 @@
     let mut now = 0;
     for (call, pause) in (1..).zip(pauses.into_iter().cycle().take(20)) {
         now += 5_000 * MS;
-        links.post(AT, set_up(call), now);
+        links.post(AT, set_up(call), now).expect("it is up");
         assert!(relief(&mut links, now + pause - MS).is_none(), "call {call}");
         links.heard(first, Some(CallId(call)), false, now + pause);
     }
@@ -170,7 +170,7 @@
     links.listed(other, Way::Platform(([127, 0, 0, 1], 2).into()), now);
     let (second, _) = links.due(now)[0];
     links.up(second, open(), now);
-    links.post(other, set_up(99), now);
+    links.post(other, set_up(99), now).expect("it is up");
     assert!(relief(&mut links, now + 350 * MS).is_none());
     assert!(relief(&mut links, now + 900 * MS).is_some(), "a rare pause is one that is too long");
 }
@@ -178,10 +178,11 @@
 #[test]
 fn a_second_connection_that_cannot_be_had_ends_the_first() {
     let mut links = links();
-    links.post(AT, set_up(1), 0);
+    links.post(AT, set_up(1), 0).expect("it is up");
     let second = relief(&mut links, SOON).expect("silent");
     assert_eq!(links.lost(second, LinkLoss::Unanswered, SOON), [CallId(1)], "it may have run");
-    assert!(!links.post(AT, set_up(2), SOON), "nothing goes on the first any more");
+    let posted = links.post(AT, set_up(2), SOON);
+    assert_eq!(posted, Err(NotSent::Unreachable), "nothing goes on the first any more");
 }
 
 /// A server is told to drain: set-ups of which no byte has left go elsewhere, whether they wait for its
@@ -193,10 +194,10 @@
     links.listed(AT, Way::Platform(([127, 0, 0, 1], 1).into()), 0);
     let (id, _) = links.due(0)[0];
     for message in [set_up(1), release(), set_up(2)] {
-        assert!(links.post(AT, message, 0));
+        assert_eq!(links.post(AT, message, 0), Ok(()));
     }
     assert_eq!(links.take_waiting(AT), [CallId(1), CallId(2)]);
-    links.post(AT, set_up(3), MS);
+    links.post(AT, set_up(3), MS).expect("it is up");
     let (outbox, mut inbox) = conn::channel(conn::Capacity::SERVER);
     links.up(id, outbox, MS);
     // It is up; what waited goes out a turn later, and can be taken back until then.
@@ -205,7 +206,7 @@
     assert!(links.open(MS).is_empty() && !links.opens());
     assert!(matches!(inbox.next_now(), Some(ToServer::Release(CallId(9), _))));
     for call in [4, 5, 6] {
-        assert!(links.post(AT, set_up(call), 2 * MS));
+        assert_eq!(links.post(AT, set_up(call), 2 * MS), Ok(()));
     }
     let begun = inbox.next_now().expect("the first set-up");
     begun.begins();
@@ -214,9 +215,9 @@
     assert_eq!(links.take_waiting(AT), [CallId(6)]);
     assert!(std::iter::from_fn(|| inbox.next_now()).all(|message| message.is_cancelled()));
     // The one that has left is given up by a word, and one that has not by none.
-    links.post(AT, set_up(7), 3 * MS);
-    links.post(AT, ToServer::GiveUp(CallId(4)), 3 * MS);
-    links.post(AT, ToServer::GiveUp(CallId(7)), 3 * MS);
+    links.post(AT, set_up(7), 3 * MS).expect("it is up");
+    links.post(AT, ToServer::GiveUp(CallId(4)), 3 * MS).expect("it is up");
+    links.post(AT, ToServer::GiveUp(CallId(7)), 3 * MS).expect("it is up");
     let said: Vec<_> = std::iter::from_fn(|| inbox.next_now()).filter(|said| !said.is_cancelled()).collect();
     assert!(matches!(said[..], [ToServer::GiveUp(CallId(4))]), "{said:?}");
 }
--- a/agent/src/net/owner.rs
+++ b/agent/src/net/owner.rs
@@ -5,7 +5,9 @@
 
 use steprelay_copies::member::News;
 use steprelay_core::duty::State;
-use steprelay_core::{Breach, ClientId, Core, Effect, LinkLoss, Promise, ReleaseCause, Source, Verdict};
+use steprelay_core::{
+    Breach, ClientId, Core, Effect, LinkLoss, NotSent, Promise, ReleaseCause, Source, Verdict,
+};
 use steprelay_decisions::{CallId, Entry, ListKind, Micros, Readiness, ServerId};
 use tokio::sync::mpsc;
 use tokio::task::yield_now;
@@ -393,7 +395,7 @@
                 continue;
             }
             for call in self.links.take_waiting(server) {
-                self.core.not_sent(now, server, call);
+                self.not_sent(now, server, call, NotSent::Withdrawn);
             }
             if state == Readiness::Gone && self.links.remove(server) {
                 self.core.link_lost(now, server, LinkLoss::Dropped);
@@ -418,8 +420,8 @@
 
     fn keep_links(&mut self) {
         let now = self.shared.clock.now();
-        for (server, call) in self.links.open(now) {
-            self.core.not_sent(now, server, call);
+        for (server, call, reason) in self.links.open(now) {
+            self.not_sent(now, server, call, reason);
         }
         for (link, way) in self.links.due(now) {
             (self.dial)(link, way);
@@ -448,6 +450,11 @@
         }
     }
 
+    fn not_sent(&mut self, now: Micros, server: ServerId, call: CallId, reason: NotSent) {
+        trace::attempt_ended(server, call, format_args!("not sent: {reason:?}"));
+        self.core.not_sent(now, server, call, reason);
+    }
+
     fn attempts_lost(&mut self, now: Micros, server: ServerId, calls: Vec<CallId>, reason: &str) {
         for call in calls {
             trace::attempt_ended(server, call, reason);
@@ -516,7 +523,7 @@
         effects.into_iter().for_each(|effect| self.say(now, effect));
         for (link, call) in heard {
             if self.links.is_current(link) {
-                self.links.post(link.server, ToServer::Heard(call), now);
+                let _ = self.links.post(link.server, ToServer::Heard(call), now);
             }
         }
     }
@@ -592,27 +599,30 @@
                 let call = set_up.call;
                 // Its server may have been told to drain since this was decided.
                 let message = ToServer::SetUp(set_up, Dispatch::default());
-                if !self.core.is_ready(server) || !self.links.post(server, message, now) {
-                    trace::attempt_ended(server, call, "not sent: not ready, or no connection takes it");
-                    self.core.not_sent(now, server, call);
+                let posted = match self.core.is_ready(server) {
+                    true => self.links.post(server, message, now),
+                    false => Err(NotSent::Withdrawn),
+                };
+                if let Err(reason) = posted {
+                    self.not_sent(now, server, call, reason);
                 }
             }
             Effect::GiveUp { server, call } => {
-                self.links.post(server, ToServer::GiveUp(call), now);
+                let _ = self.links.post(server, ToServer::GiveUp(call), now);
             }
             Effect::Withdraw { server, call } => {
                 let waited = self.copies.as_mut().is_some_and(|copies| copies.withdraw(call));
                 if waited || self.links.withdraw(server, call) {
-                    self.core.not_sent(now, server, call);
+                    self.not_sent(now, server, call, NotSent::Withdrawn);
                 }
             }
             Effect::Release { server, call, cause } => {
-                self.links.post(server, ToServer::Release(call, cause), now);
+                let _ = self.links.post(server, ToServer::Release(call, cause), now);
             }
             Effect::Probe { server } => {
                 let call = self.shared.new_call();
                 self.probes.retain(|_, (_, sent)| now - *sent < 10_000_000);
-                if self.links.post(server, ToServer::Probe(call), now) {
+                if self.links.post(server, ToServer::Probe(call), now).is_ok() {
                     self.probes.insert(call, (server, now));
                 }
             }
--- a/agent/src/net/owner/tests.rs
+++ b/agent/src/net/owner/tests.rs
@@ -208,6 +208,37 @@
     }
 }
 
+/// More set-ups at once than a send queue takes: those without room are refused unsent, and once the server has
+/// read, the next one goes there. They counted as failures of the server, which nobody's set-up was sent to for
+/// up to 4 s: the trace had `ready: 1!` at each refusal, behind 940 set-ups `not sent`.
+#[test]
+fn a_full_send_queue_is_not_held_against_its_server() {
+    const BURST: u64 = 1_500;
+    let (mut owner, mut inbox, _, mut to_server) = with_call();
+    let (client, long) = (ClientId(1), Rc::from("x".repeat(1_000)));
+    let offer = |owner: &mut Owner, call| {
+        let now = owner.shared.clock.now();
+        let request = Request { description: Rc::clone(&long), ..request(CallId(call), now) };
+        owner.take(Input::Offer { client, request });
+        owner.carry_out();
+    };
+    let drain = |to_server: &mut Inbox<ToServer>| {
+        let read: Vec<_> = std::iter::from_fn(|| to_server.next_now()).collect();
+        read.iter().for_each(|message| to_server.done(message));
+        read.iter().filter_map(ToServer::set_up).collect::<Vec<_>>()
+    };
+    (100..100 + BURST).for_each(|call| offer(&mut owner, call));
+    let refused = std::iter::from_fn(|| inbox.next_now())
+        .inspect(|said| {
+            let verdict = Verdict::Refused { wait: None };
+            assert!(matches!(said, ToClient::Final { verdict: told, .. } if *told == verdict), "{said:?}");
+        })
+        .count();
+    assert!(refused > 0 && drain(&mut to_server).len() + refused == BURST as usize + 1, "{refused}");
+    offer(&mut owner, 99);
+    assert_eq!(drain(&mut to_server), [CallId(99)]);
+}
+
 /// Callers release many calls that nobody knows, which every server is told, and in the same turn one makes a
 /// call. The releases took the room of its set-up: it was refused as overload. The trace had `not sent` for it
 /// behind 939 releases and givings-up of one turn, with the server not avoided.
--- a/agent/tests/platform.rs
+++ b/agent/tests/platform.rs
@@ -319,6 +319,10 @@
     assert!(agent.ended().success());
 }
 
+/// The other caller's call was refused as overload in some runs: the slow one's burst filled the send queue to the
+/// server, and each of its 940 set-ups that found no room counted as a failure of the server, so that nothing
+/// was sent there for up to 4 s. The trace showed them as `not sent` and then `ready: 1!`, a server that is avoided.
+/// A full queue is no failure of the server now.
 #[test]
 fn a_slow_reader_is_cut_and_stalls_nobody() {
     let server = Server::new();
--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -37,6 +37,7 @@
 use promise::Promises;
 use relay::Relay;
 use route::Route;
+pub use send::NotSent;
 use send::Pending;
 
 /// A list of servers is kept for each place that names them, so that a whole list replaces only its own.
--- a/core/src/send.rs
+++ b/core/src/send.rs
@@ -13,6 +13,17 @@
 /// Who is sent away comes back after this, since others serve it: its connection is quiet and closed by then.
 const ELSEWHERE: Micros = 100_000;
 
+/// Why a set-up did not leave for its server.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum NotSent {
+    /// There is no connection to the server, and none is being dialled.
+    Unreachable,
+    /// The send queue of its connection takes no more.
+    QueueFull,
+    /// It was taken back before its first byte left, or its server takes none any more.
+    Withdrawn,
+}
+
 #[derive(Clone, Copy, Debug)]
 pub struct Attempt {
     pub server: ServerId,
@@ -247,10 +258,15 @@
     }
 
     /// One set-up could not be put on its way to a server.
-    pub fn not_sent(&mut self, now: Micros, server: ServerId, call: CallId) {
+    pub fn not_sent(&mut self, now: Micros, server: ServerId, call: CallId, reason: NotSent) {
+        let outcome = match reason {
+            NotSent::Unreachable => Outcome::ConnectFailed,
+            // No failure of the server: held against it, it would keep everybody's set-ups from it.
+            NotSent::QueueFull | NotSent::Withdrawn => Outcome::Moot,
+        };
         let out = self.pending.get(&call).and_then(|pending| pending.out);
         if let Some(attempt) = out.filter(|attempt| attempt.server == server) {
-            self.end_attempt(now, attempt.ended(now, call, Outcome::ConnectFailed));
+            self.end_attempt(now, attempt.ended(now, call, outcome));
         }
     }
 
--- a/core/src/tests.rs
+++ b/core/src/tests.rs
@@ -721,10 +721,34 @@
     stand.core.client_away(bound, true);
     assert_eq!(stand.core.take_effects(), [Effect::Withdraw { server: ONE, call: CallId(1) }]);
     // It had not left: nothing goes elsewhere.
-    stand.core.not_sent(stand.now, ONE, CallId(1));
+    stand.core.not_sent(stand.now, ONE, CallId(1), NotSent::Withdrawn);
     let failed = Effect::Final { client: bound, call: CallId(1), verdict: Verdict::Failed };
     assert_eq!(stand.core.take_effects(), [failed]);
     stand.core.client_away(bound, false);
     assert!(set_up_at(&stand.offer_from(bound, 2, 9_000 * MS)).is_some());
     assert_eq!((stand.breaches(), stand.core.unanswered()), (0, 1));
 }
+
+/// Only what cannot be reached has failed: a send queue that is full, and set-ups that were taken back, are no
+/// reason to keep the next ones from a server.
+#[test]
+fn a_server_is_avoided_for_what_it_failed_and_not_for_what_never_left() {
+    for (reason, avoided) in
+        [(NotSent::QueueFull, false), (NotSent::Withdrawn, false), (NotSent::Unreachable, true)]
+    {
+        let mut stand = Stand::new();
+        stand.list(&[(TWO, Readiness::Draining)]);
+        for call in 1..=3 {
+            stand.now += MS;
+            let mut effects = stand.offer(call, 9_000 * MS);
+            stand.core.not_sent(stand.now, ONE, CallId(call), reason);
+            effects.extend(stand.core.take_effects());
+            let refused = |effect: &Effect| matches!(effect, Effect::Final { .. });
+            assert_eq!(effects.into_iter().filter(refused).count(), 1, "{reason:?}");
+        }
+        stand.now += MS;
+        assert_eq!(stand.core.avoids(stand.now, ONE), avoided, "{reason:?}");
+        assert_eq!(set_up_at(&stand.offer(4, 9_000 * MS)).is_none(), avoided, "{reason:?}");
+        assert_eq!(stand.breaches(), 0);
+    }
+}
