Answer what comes after SIGTERM, and end before the kill whatever clients do

What callers saw: set-ups on open connections more than 0.7 s after SIGTERM were sent on as ever and lost at SIGKILL.

Change: what comes from 0.7 s on is refused at once where it can't be carried to its end, and all of it from 0.9 s on. Connections are closed as soon as no set-up is open on each: one whose client never pauses is read no further once all that was read is handed on, and is ended when that is answered, within 25 ms, so that what is unread then crosses the end. 0.25 s before the kill, which follows from the longest deadline, all that is open is answered; 0.12 s before it the process has ended. The listener is closed 0.8 s after SIGTERM, behind what waits there. Standby and the replaced process of an upgrade get the same for clients that never pause. A process that was held up past 0.7 s still takes what may have come in time.

Checks changed: the table of duty.rs has the new columns for a stopping process. The soak's own rule on late set-ups is the issue's now: nothing is sent on for one that can't be carried to its end, nor for one that comes 1 s late; it had counted refusals of set-ups with short deadlines, which are served as ever.

--- a/agent/src/front/m3ua/mod.rs
+++ b/agent/src/front/m3ua/mod.rs
@@ -320,9 +320,13 @@
             ToClient::Draining => Event::Ourselves { route: Route::Restricted, level: 0 },
             ToClient::Pressure(level) => Event::Ourselves { route: Route::Available, level },
             // A peer's association is not a call's: it ends with the program.
-            ToClient::Passed(_) | ToClient::NotPassed(_) | ToClient::LetGo { .. } | ToClient::Finish => {
-                return;
-            }
+            ToClient::Passed(_)
+            | ToClient::NotPassed(_)
+            | ToClient::LetGo { .. }
+            | ToClient::Pause
+            | ToClient::CloseIfPaused { .. }
+            | ToClient::Resume
+            | ToClient::Finish => return,
         };
         self.office(event);
     }
--- a/agent/src/front/platform/clients.rs
+++ b/agent/src/front/platform/clients.rs
@@ -40,14 +40,32 @@
     }
     let cut = inbox.cut();
     let mut incoming = Incoming::new(&stream, &shared.pool, message::split, WHOLE_WITHIN);
-    let (inputs, in_part) = (Cell::new(0), incoming.in_part());
+    let (inputs, in_part, gate) = (Cell::new(0), incoming.in_part(), incoming.gate());
     // An answer that can't be passed on ends the connection, so that its caller can tell. So does the owner's
     // word to let it go, where nothing has come that the owner had not seen.
     let left_out = |line: &ToClient| match line {
         ToClient::LetGo { inputs: seen } if inputs.get() != *seen || in_part.get() || unread(&stream) => {
             Ok(ControlFlow::Continue(()))
         }
-        ToClient::LetGo { .. } | ToClient::Finish => Ok(ControlFlow::Break(())),
+        ToClient::Pause => {
+            let paused = gate.close(unread(&stream));
+            let handed_on = Input::ClientPaused { client, inputs: inputs.get() };
+            if paused && shared.inputs.try_send(handed_on).is_err() {
+                gate.open();
+            }
+            Ok(ControlFlow::Continue(()))
+        }
+        ToClient::CloseIfPaused { inputs: seen } if inputs.get() != *seen || !gate.may_end() => {
+            gate.open();
+            Ok(ControlFlow::Continue(()))
+        }
+        ToClient::Resume => {
+            gate.open();
+            Ok(ControlFlow::Continue(()))
+        }
+        ToClient::LetGo { .. } | ToClient::CloseIfPaused { .. } | ToClient::Finish => {
+            Ok(ControlFlow::Break(()))
+        }
         _ => Err(io::ErrorKind::InvalidInput.into()),
     };
     let ended = tokio::select! {
@@ -56,6 +74,7 @@
             // A connection that is closed with something unread is reset, and its last answers with it where
             // they were not read yet. Whoever has sent a set-up by now sends it again elsewhere.
             if ended.is_ok() && SockRef::from(&stream).shutdown(Shutdown::Write).is_ok() {
+                gate.open();
                 let _ = timeout(READ_ON, read(&mut incoming, client, &shared, &inputs, false)).await;
             }
             ended
@@ -202,6 +221,10 @@
         ToClient::Passed(call) => message::write(buffer, "tested", *call, &[], Some(1), None),
         ToClient::NotPassed(call) => message::write(buffer, "tested", *call, &[], Some(0), None),
         // No message: it is left out, and heard of by that.
-        ToClient::LetGo { .. } | ToClient::Finish => Err(io::ErrorKind::Unsupported.into()),
+        ToClient::LetGo { .. }
+        | ToClient::Pause
+        | ToClient::CloseIfPaused { .. }
+        | ToClient::Resume
+        | ToClient::Finish => Err(io::ErrorKind::Unsupported.into()),
     }
 }
--- a/agent/src/net/owner.rs
+++ b/agent/src/net/owner.rs
@@ -21,19 +21,10 @@
 use crate::ports::{Input, LinkId, OnDuty, Shared, Snapshot, ToClient, ToServer, Way};
 use crate::trace;
 
-/// After a signal to stop, set-ups keep coming for so long: on new connections for 0.4 s, on those for 0.2 s
-/// more, and some time to arrive.
-const STILL_COMING: Micros = 900_000;
-/// One that another has replaced takes no connections any more; what it had accepted is known by now.
-const REPLACED_STAYS: Micros = 200_000;
 /// It looks so often whether all is answered.
 const LOOK: Micros = 20_000;
 /// Callers get this long to close their side once all is answered.
 const CLOSING: Micros = 400_000;
-/// One that is told to stop is killed 0.7 s after the longest deadline, which counts as so much at least.
-/// Until nearly then, answers leave as their callers read them.
-const LEAST_DEADLINE: Micros = 3_000_000;
-const BEFORE_KILL: Micros = 500_000;
 
 /// Turns of the runtime in which what has arrived reaches the owner: in the first the sockets are looked at,
 /// in the next their tasks read, in the third that of a front hands it on. While more comes it goes on, but
@@ -61,8 +52,8 @@
     /// Probes that are out, with their servers and when they left.
     probes: BTreeMap<CallId, (ServerId, Micros)>,
     started: Micros,
-    stopping: Option<Micros>,
-    replaced: bool,
+    /// When the connections were last polled: what is read now has come since.
+    polled: Micros,
     /// What clients that are told were last told of the servers' pressure, and when it is looked at again.
     pressure: u8,
     next_pressure: Micros,
@@ -80,8 +71,7 @@
             copies: None,
             probes: BTreeMap::new(),
             started,
-            stopping: None,
-            replaced: false,
+            polled: started,
             pressure: 0,
             next_pressure: 0,
         }
@@ -137,7 +127,8 @@
             }
             let starting = self.core.duty().state() == State::Starting;
             let waits = self.copies.as_ref().is_some_and(Copies::waits);
-            let look = (self.stopping.is_some() || starting || waits).then_some(now + LOOK);
+            let stopping = self.core.duty().state() == State::Stopping;
+            let look = (stopping || starting || waits).then_some(now + LOOK);
             let wake = [self.core.next_wake(), self.links.next_due(), look].into_iter().flatten().min();
             let wake = wake.unwrap_or(now + 1_000_000);
             tokio::select! {
@@ -155,7 +146,8 @@
             if self.core.sends() || self.links.opens() || self.core.next_wake().is_some_and(|at| at <= now) {
                 self.settle(&mut queue).await;
             }
-            self.core.wake(self.shared.clock.now());
+            self.polled = self.shared.clock.now();
+            self.core.wake(self.polled);
         }
         self.flush(&mut queue).await;
         let counts = self.core.counts();
@@ -198,25 +190,18 @@
         any
     }
 
-    /// Whether it was told to stop and nothing is left to do. One that was replaced stays while callers keep
-    /// their connections.
+    /// Whether it was told to stop and nothing is open any more, or no more time is left for that.
     fn is_done(&self, now: Micros) -> bool {
-        let Some(since) = self.stopping else { return false };
-        if self.core.unanswered() > 0 {
-            return false;
-        }
-        if !self.replaced {
-            return now >= since + STILL_COMING;
-        }
-        now >= since + REPLACED_STAYS && self.core.connections() == 0
+        let is_over = self.core.duty().answers_all_at().is_some_and(|at| now >= at);
+        let is_idle = self.core.unanswered() == 0 && self.core.connections() == 0;
+        is_over || is_idle && self.core.duty().may_end(now)
     }
 
     /// Lets the last answers leave, and ends the callers' connections behind them. What ends calls is taken
     /// in until each caller has closed its side, too.
     async fn flush(&mut self, queue: &mut mpsc::Receiver<Input>) {
-        let closed_by = self.shared.clock.now() + CLOSING;
-        let longest = self.shared.site.deadlines.iter().copied().max().unwrap_or_default();
-        let killed = self.stopping.unwrap_or_default() + longest.max(LEAST_DEADLINE) + BEFORE_KILL;
+        let ends_by = self.core.duty().ends_by().unwrap_or_default();
+        let closed_by = (self.shared.clock.now() + CLOSING).min(ends_by);
         let callers = |owner: &Self| -> Vec<_> {
             let callers = owner.clients.iter().filter(|(client, _)| !client.is_bound());
             callers.map(|(_, outbox)| outbox.clone()).collect()
@@ -232,12 +217,13 @@
             let open = callers(self).iter().any(|outbox| !outbox.is_closed());
             // A set-up may come where a last answer is slow to leave.
             let late = waits(self) || self.core.unanswered() > 0;
-            if !(late && now < killed.max(closed_by) || open && now < closed_by) {
+            if !(late && now < ends_by || open && now < closed_by) {
                 break;
             }
             sleep(Duration::from_millis(5)).await;
             self.settle(queue).await;
-            self.core.wake(self.shared.clock.now());
+            self.polled = self.shared.clock.now();
+            self.core.wake(self.polled);
             self.keep_links();
             self.carry_out();
         }
@@ -259,7 +245,7 @@
                 self.core.client_closed(now, client);
             }
             Input::ClientAway { client, away } => self.core.client_away(client, away),
-            Input::Offer { client, request } => self.core.offer(now, client, request),
+            Input::Offer { client, request } => self.core.offer(now, self.polled, client, request),
             Input::Unfit { client, call, class } => self.core.offer_unfit(client, call, class),
             Input::ClientEnded { client, call, cause } => {
                 if let Some(copies) = &mut self.copies {
@@ -272,6 +258,7 @@
                 let passes = self.core.duty().passes();
                 self.tell(client, if passes { ToClient::Passed(call) } else { ToClient::NotPassed(call) });
             }
+            Input::ClientPaused { client, inputs } => self.core.client_paused(now, client, inputs),
             Input::ReleaseHeard { client, call } => self.core.release_heard(now, client, call),
             Input::LinkUp { link, outbox } if self.links.is_current(link) => {
                 trace::link(link, "is up");
@@ -364,11 +351,9 @@
                 }
                 let _ = asked.send(done.map(|()| state));
             }
-            Input::Stop { replaced } => {
+            Input::Stop { replaced, at } => {
                 eprintln!("steprelay: told to stop, {} set-ups are unanswered", self.core.unanswered());
-                self.stopping.get_or_insert(now);
-                self.replaced = replaced;
-                self.core.on_duty(now, |duty| duty.stop(now, replaced));
+                self.core.stop(at, replaced);
                 self.duty_changed(State::Stopping);
             }
         }
@@ -631,11 +616,10 @@
             }
             Effect::Final { client, call, verdict } => self.tell(client, ToClient::Final { call, verdict }),
             Effect::Released { client, call, cause } => self.tell(client, ToClient::Released { call, cause }),
-            Effect::LetGo { client, inputs } => {
-                if let Some(outbox) = self.clients.get(&client) {
-                    outbox.post(ToClient::LetGo { inputs });
-                }
-            }
+            Effect::LetGo { client, inputs } => self.post(client, ToClient::LetGo { inputs }),
+            Effect::Pause { client } => self.post(client, ToClient::Pause),
+            Effect::CloseIfPaused { client, inputs } => self.post(client, ToClient::CloseIfPaused { inputs }),
+            Effect::Resume { client } => self.post(client, ToClient::Resume),
             Effect::Close { client } => {
                 if let Some(outbox) = self.clients.get(&client) {
                     outbox.cut();
@@ -655,6 +639,13 @@
         }
     }
 
+    /// Puts a message on its way that is not missed where it finds no room: it is said again.
+    fn post(&self, client: ClientId, message: ToClient) {
+        if let Some(outbox) = self.clients.get(&client) {
+            outbox.post(message);
+        }
+    }
+
     fn tell(&mut self, client: ClientId, message: ToClient) {
         if self.clients.get(&client).is_some_and(|outbox| !outbox.post(message)) {
             if let Some(outbox) = self.clients.remove(&client) {
--- a/agent/src/ports/conn.rs
+++ b/agent/src/ports/conn.rs
@@ -10,7 +10,9 @@
 
 use super::pool::{Buffer, Pool, LONGEST_MESSAGE};
 
+mod gate;
 mod queue;
+pub use gate::Gate;
 pub use queue::{channel, Capacity, Inbox, Outbox, Weight};
 
 /// How far the first message in some bytes goes.
@@ -33,6 +35,7 @@
     taken: usize,
     part_since: Option<Instant>,
     in_part: Rc<Cell<bool>>,
+    gate: Rc<Gate>,
 }
 
 impl<'a> Incoming<'a> {
@@ -51,9 +54,15 @@
             taken: 0,
             part_since: None,
             in_part: Rc::default(),
+            gate: Rc::default(),
         }
     }
 
+    /// By which the reading can be paused.
+    pub fn gate(&self) -> Rc<Gate> {
+        self.gate.clone()
+    }
+
     /// Whether part of a message has come and its end has not.
     pub fn in_part(&self) -> Rc<Cell<bool>> {
         self.in_part.clone()
@@ -80,6 +89,7 @@
                 }
             }
             self.in_part.set(self.buffer.is_some());
+            self.gate.waits();
             match &self.buffer {
                 None => self.stream.readable().await?,
                 Some(_) => {
@@ -88,6 +98,7 @@
                     readable.map_err(|_| io::ErrorKind::InvalidData)??;
                 }
             }
+            self.gate.pass().await;
             let buffer = self.buffer.get_or_insert_with(|| self.pool.take());
             match self.stream.try_read(buffer.free_mut()) {
                 Ok(0) => return Ok(None),
--- a/agent/src/ports/mod.rs
+++ b/agent/src/ports/mod.rs
@@ -17,7 +17,7 @@
 use steprelay_core::{
     ClientId, Counts, LinkLoss, Peer, ReleaseCause, Request, ServerCounts, SetUp, Source, Verdict,
 };
-use steprelay_decisions::{CallId, Cause, Entry, ListKind, Report, ServerId};
+use steprelay_decisions::{CallId, Cause, Entry, ListKind, Micros, Report, ServerId};
 use steprelay_fleet::node::Figures as FleetFigures;
 use steprelay_settings::Site;
 use tokio::sync::{mpsc, oneshot};
@@ -55,6 +55,14 @@
     LetGo {
         inputs: u64,
     },
+    /// Nothing more is read from the connection, if all that has come was handed on.
+    Pause,
+    /// The connection is to end if it was paused a short time ago, with no more than so many inputs.
+    CloseIfPaused {
+        inputs: u64,
+    },
+    /// The connection is read again.
+    Resume,
     /// Nothing follows. Set-ups that cross this are not taken.
     Finish,
 }
@@ -167,6 +175,11 @@
         client: ClientId,
         call: CallId,
     },
+    /// A client is paused, and all that was read from it, so many inputs, was handed on before this.
+    ClientPaused {
+        client: ClientId,
+        inputs: u64,
+    },
     /// A client confirms a release.
     ReleaseHeard {
         client: ClientId,
@@ -219,9 +232,10 @@
     Copies(News),
     /// Operators ask whether work is taken, or change it.
     Duty(OnDuty, oneshot::Sender<Result<duty::State, IsStopping>>),
-    /// `replaced`: another process takes the new connections.
+    /// `replaced`: another process takes the new connections. `at`: when the signal came.
     Stop {
         replaced: bool,
+        at: Micros,
     },
 }
 
--- a/agent/src/serve.rs
+++ b/agent/src/serve.rs
@@ -34,6 +34,9 @@
 /// Connections that the core has let go of, and that are not closed yet.
 const CLOSING: usize = 8;
 
+/// After SIGTERM new connections come for 0.4 s; what is accepted from then on has waited for a place.
+const LAST_CONNECTION: Duration = Duration::from_millis(800);
+
 /// Why the program cannot serve.
 #[derive(Debug, thiserror::Error)]
 pub enum ServeError {
@@ -63,14 +66,19 @@
     let m3ua = m3ua.map(|named| m3ua::start(named, shared.clone(), &config.name)).transpose()?;
     let mut terminate = signal(SignalKind::terminate())?;
     let stop = shared.inputs.clone();
-    let (taking, takes) = watch::channel(true);
+    let (accepting, accepts) = watch::channel(Accepts::All);
     // Where the socket is inherited, SIGTERM comes when another process has it too.
     let replaced = config.inherited.is_some();
     spawn_local(async move {
         if terminate.recv().await.is_some() {
             // Before anything else: what still waits in its queue is for the other process.
-            taking.send_replace(!replaced);
-            let _ = stop.send(Input::Stop { replaced }).await;
+            if replaced {
+                accepting.send_replace(Accepts::None);
+            }
+            let _ = stop.send(Input::Stop { replaced, at: clock.now() }).await;
+            sleep(LAST_CONNECTION).await;
+            accepting
+                .send_if_modified(|accepts| std::mem::replace(accepts, Accepts::Waiting) == Accepts::All);
             // Other listeners than that one are not handed on, and go on until the end.
             std::future::pending::<()>().await;
         }
@@ -114,7 +122,7 @@
         eprintln!("steprelay: serving M3UA on {}", listener.local_addr()?);
         owner.take(m3ua.listed());
         let serve = move |stream, number| m3ua::serve(stream, number, m3ua.clone());
-        spawn_local(accept(listener, MOST_M3UA, watch::channel(true).1, serve));
+        spawn_local(accept(listener, MOST_M3UA, watch::channel(Accepts::All).1, serve));
     }
     if let Some(snmp) = snmp {
         let socket = UdpSocket::bind(snmp.listen).await?;
@@ -122,7 +130,7 @@
         spawn_local(snmp::serve(socket, snmp, shared.clone(), figures));
     }
     let serve = move |stream, number| platform::clients::serve(stream, number, shared.clone());
-    spawn_local(accept(listener, config.bounds.connections + CLOSING, takes, serve));
+    spawn_local(accept(listener, config.bounds.connections + CLOSING, accepts, serve));
     owner.run(queue).await;
     if let Some(fleet) = fleet {
         fleet.leave().await;
@@ -154,39 +162,55 @@
     }
 }
 
-/// Takes connections until `takes` turns false, as many at once as the descriptors allow. The others wait in
-/// the machine's queue.
-async fn accept<S, F>(listener: TcpListener, most: usize, takes: watch::Receiver<bool>, serve: S)
+/// Which connections are accepted.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Accepts {
+    All,
+    /// Those that wait by now, of callers that take them for accepted; then the listener is closed.
+    Waiting,
+    /// None: those that wait are for another process.
+    None,
+}
+
+/// Accepts connections, as many at once as the descriptors allow. The others wait in the machine's queue.
+async fn accept<S, F>(listener: TcpListener, most: usize, mut accepts: watch::Receiver<Accepts>, serve: S)
 where
     S: Fn(TcpStream, u64) -> F,
     F: Future<Output = ()> + 'static,
 {
     let places = Arc::new(Semaphore::new(most.max(1)));
-    let mut takes = takes;
-    let over = async { takes.wait_for(|takes| !takes).await.is_ok() };
-    let taking = async {
-        for number in 1.. {
-            let Ok(place) = Arc::clone(&places).acquire_owned().await else { return };
-            let stream = loop {
-                match listener.accept().await {
-                    Ok((stream, _)) => break stream,
-                    Err(error) => {
-                        // Out of descriptors, most often: it passes when connections close.
-                        eprintln!("steprelay: cannot take a connection: {error}");
-                        sleep(Duration::from_millis(50)).await;
-                    }
-                }
-            };
-            let serving = serve(stream, number);
-            spawn_local(async move {
-                serving.await;
-                drop(place);
-            });
+    for number in 1.. {
+        let Ok(place) = Arc::clone(&places).acquire_owned().await else { return };
+        let Some(stream) = next_connection(&listener, &mut accepts).await else { return };
+        let serving = serve(stream, number);
+        spawn_local(async move {
+            serving.await;
+            drop(place);
+        });
+    }
+}
+
+/// The next connection that is accepted; `None` where none is any more.
+async fn next_connection(
+    listener: &TcpListener,
+    accepts: &mut watch::Receiver<Accepts>,
+) -> Option<TcpStream> {
+    loop {
+        let now = *accepts.borrow();
+        let accepted = tokio::select! {
+            biased;
+            // Without an end in sight where whoever says so has gone.
+            true = async { accepts.wait_for(|accepts| *accepts != now).await.is_ok() } => continue,
+            accepted = listener.accept(), if now != Accepts::None => accepted,
+            () = std::future::ready(()), if now != Accepts::All => return None,
+        };
+        match accepted {
+            Ok((stream, _)) => return Some(stream),
+            Err(error) => {
+                // Out of descriptors, most often: it passes when connections close.
+                eprintln!("steprelay: cannot take a connection: {error}");
+                sleep(Duration::from_millis(50)).await;
+            }
         }
-    };
-    tokio::select! {
-        biased;
-        true = over => {}
-        () = taking => {}
     }
 }
--- a/core/src/duty.rs
+++ b/core/src/duty.rs
@@ -5,8 +5,11 @@
 //! | starting | `status` says no | served | stay |
 //! | serving | yes | served | stay |
 //! | standby | no | served, refused in the end | let go of as each falls quiet |
-//! | stopping | `status` says no | served | stay |
+//! | stopping | `status` says no | served, refused in the end | stay, then closed once nothing is open on each |
 //! | the same, replaced | `status` says no | served, refused in the end | let go of as each falls quiet |
+//!
+//! A process that stops is killed at a time that follows from the settings. It has answered everything and ended by
+//! itself before that, whatever its peers do.
 
 use steprelay_decisions::Micros;
 
@@ -22,6 +25,21 @@
 /// One that was replaced is killed 0.7 s after the longest deadline: what it takes by now has its answer by
 /// then, and a caller that is refused is served by the other.
 const LAST_TAKEN_REPLACED: Micros = 600_000;
+/// One that stops without a successor serves as ever for so long: set-ups come on new connections for 0.4 s, on those
+/// for 0.2 s more, and some time to arrive.
+const SERVES_STOPPING: Micros = 700_000;
+/// What comes until then is taken where it is answered before the kill, since it may have been read late.
+const LAST_TAKEN_STOPPING: Micros = 900_000;
+/// One that another has replaced takes no connections any more; what it had accepted is known by now.
+const REPLACED_STAYS: Micros = 200_000;
+/// The kill comes this long after the longest deadline, which counts as so much at least, or at most where another
+/// process serves.
+const KILL_AFTER_DEADLINE: Micros = 700_000;
+const LEAST_DEADLINE: Micros = 3_000_000;
+const MOST_DEADLINE_REPLACED: Micros = 5_000_000;
+/// Every call has its final answer so long before the kill, and the process has ended so long before it.
+const ANSWERED_BEFORE_KILL: Micros = 250_000;
+const ENDED_BEFORE_KILL: Micros = 120_000;
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum State {
@@ -36,13 +54,20 @@
 #[error("stopping")]
 pub struct IsStopping;
 
+#[derive(Clone, Copy, Debug)]
+struct Stopping {
+    since: Micros,
+    /// Another process serves in its place.
+    replaced: bool,
+    killed_at: Micros,
+}
+
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Duty {
     ready: bool,
     /// Since when clients are sent away.
     away: Option<Micros>,
-    /// Since when it stops, and whether another process serves in its place.
-    stopping: Option<(Micros, bool)>,
+    stopping: Option<Stopping>,
 }
 
 impl Duty {
@@ -78,9 +103,32 @@
         Ok(())
     }
 
-    /// `replaced`: new connections go to another process from now on.
-    pub fn stop(&mut self, now: Micros, replaced: bool) {
-        self.stopping.get_or_insert((now, replaced));
+    /// `replaced`: new connections go to another process from now on. Said again, it changes nothing.
+    pub fn stop(&mut self, now: Micros, replaced: bool, longest_deadline: Micros) {
+        let deadline = match replaced {
+            true => longest_deadline.min(MOST_DEADLINE_REPLACED),
+            false => longest_deadline.max(LEAST_DEADLINE),
+        };
+        let killed_at = now + deadline + KILL_AFTER_DEADLINE;
+        self.stopping.get_or_insert(Stopping { since: now, replaced, killed_at });
+    }
+
+    /// When all calls that are open then get their final answers, since the process is killed soon after.
+    pub fn answers_all_at(&self) -> Option<Micros> {
+        self.stopping.map(|stopping| stopping.killed_at - ANSWERED_BEFORE_KILL)
+    }
+
+    /// When the process has to have ended.
+    pub fn ends_by(&self) -> Option<Micros> {
+        self.stopping.map(|stopping| stopping.killed_at - ENDED_BEFORE_KILL)
+    }
+
+    /// Whether nothing that would be served is still to come: the process may end once nothing is open.
+    pub fn may_end(&self, now: Micros) -> bool {
+        self.stopping.is_some_and(|stopping| {
+            let stays = if stopping.replaced { REPLACED_STAYS } else { LAST_TAKEN_STOPPING };
+            now >= stopping.since + stays
+        })
     }
 
     /// Whether a caller that tests this call agent is told that it is well. A process that stops is no matter
@@ -91,24 +139,40 @@
 
     /// Since when another process has served in our place.
     fn replaced(&self) -> Option<Micros> {
-        self.stopping.filter(|(_, replaced)| *replaced).map(|(at, _)| at)
+        self.stopping.filter(|stopping| stopping.replaced).map(|stopping| stopping.since)
+    }
+
+    /// Since when it has been stopping without one.
+    fn not_replaced(&self) -> Option<Micros> {
+        self.stopping.filter(|stopping| !stopping.replaced).map(|stopping| stopping.since)
     }
 
     /// From when on callers' connections are let go of.
     pub fn lets_go_from(&self) -> Option<Micros> {
-        self.replaced().into_iter().chain(self.away.map(|at| at + CATCH_UP)).min()
+        let away = self.away.map(|at| at + CATCH_UP);
+        let stopping = self.not_replaced().map(|at| at + LAST_TAKEN_STOPPING);
+        [self.replaced(), away, stopping].into_iter().flatten().min()
     }
 
     /// Whether a connection stays for the releases of what stands: `own` calls that were made on it, of `all`
-    /// that there are. A process that serves in our place gets them instead.
+    /// that there are. A process that serves in our place gets them instead, or the one that is started after this.
     pub fn keeps(&self, now: Micros, own: usize, all: usize) -> bool {
         let for_others = self.away.is_some_and(|at| now < at + FOR_OTHERS);
-        self.replaced().is_none() && (own > 0 || all > 0 && for_others)
+        self.stopping.is_none() && (own > 0 || all > 0 && for_others)
     }
 
+    /// Whether a set-up is taken whose answer is waited for until then.
+    pub fn takes(&self, now: Micros, answer_by: Micros) -> bool {
+        let is_late = self.not_replaced().is_some_and(|at| now >= at + SERVES_STOPPING);
+        let is_carried = self.answers_all_at().is_none_or(|at| answer_by <= at);
+        self.takes_set_ups(now) && (!is_late || is_carried)
+    }
+
+    /// Whether any set-up is taken.
     pub fn takes_set_ups(&self, now: Micros) -> bool {
         self.away.is_none_or(|at| now < at + LAST_TAKEN)
             && self.replaced().is_none_or(|at| now < at + LAST_TAKEN_REPLACED)
+            && self.not_replaced().is_none_or(|at| now < at + LAST_TAKEN_STOPPING)
     }
 }
 
@@ -142,11 +206,11 @@
             (&[Ready, Standby, Standby], State::Standby, false, Some(1_400 * MS), false),
             (&[Ready, Standby, Active], State::Serving, true, None, true),
             (&[Ready, Active, Active], State::Serving, true, None, true),
-            (&[Ready, Stop], State::Stopping, true, None, true),
-            (&[Ready, Stop, Standby], State::Stopping, true, None, true),
+            (&[Ready, Stop], State::Stopping, true, Some(1_900 * MS), false),
+            (&[Ready, Stop, Standby], State::Stopping, true, Some(1_900 * MS), false),
             (&[Ready, Replaced], State::Stopping, true, Some(1_000 * MS), false),
             (&[Ready, Standby, Replaced, Active], State::Stopping, false, Some(1_400 * MS), false),
-            (&[Ready, Stop, Replaced, Active], State::Stopping, true, None, true),
+            (&[Ready, Stop, Replaced, Active], State::Stopping, true, Some(1_900 * MS), false),
         ];
         for (place, (done, state, passes, lets_go, takes)) in table.into_iter().enumerate() {
             let (mut duty, mut now) = (Duty::default(), 0);
@@ -157,8 +221,8 @@
                     Ready => duty.ready(),
                     Standby => said = duty.standby(now),
                     Active => said = duty.active(),
-                    Stop => duty.stop(now, false),
-                    Replaced => duty.stop(now, true),
+                    Stop => duty.stop(now, false, 3_000 * MS),
+                    Replaced => duty.stop(now, true, 3_000 * MS),
                 }
                 assert_eq!(said.is_err(), stopping && matches!(step, Standby | Active), "line {place}");
                 now += 1_000 * MS;
@@ -168,4 +232,34 @@
             assert_eq!(seen, (state, passes, lets_go, takes), "line {place}");
         }
     }
+
+    /// What follows from the settings: the longest deadline counts as 3 s at least, and as 5 s at most where another
+    /// process serves. All is answered and ended before the kill.
+    #[test]
+    fn ends_before_the_kill_that_follows_from_the_longest_deadline() {
+        let table = [
+            (false, 200 * MS, 3_700 * MS),
+            (false, 3_000 * MS, 3_700 * MS),
+            (false, 9_000 * MS, 9_700 * MS),
+            (true, 1_000 * MS, 1_700 * MS),
+            (true, 9_000 * MS, 5_700 * MS),
+        ];
+        for (replaced, longest, killed_at) in table {
+            let mut duty = Duty::default();
+            assert_eq!((duty.answers_all_at(), duty.ends_by(), duty.may_end(0)), (None, None, false));
+            duty.stop(0, replaced, longest);
+            duty.stop(500 * MS, !replaced, 0);
+            let (answers, ends) =
+                (duty.answers_all_at().expect("it stops"), duty.ends_by().expect("it stops"));
+            assert!(
+                answers < ends && ends < killed_at && ends + 200 * MS > killed_at,
+                "{replaced} {longest}"
+            );
+            assert!(!duty.may_end(100 * MS) && duty.may_end(900 * MS));
+            assert!(duty.takes_set_ups(if replaced { 599 * MS } else { 700 * MS }));
+            assert!(!duty.takes_set_ups(900 * MS));
+            assert!(duty.takes(500 * MS, ends) && !duty.takes(if replaced { 600 } else { 700 } * MS, ends));
+            assert_eq!(duty.takes(700 * MS, answers), !replaced, "it is answered in time");
+        }
+    }
 }
--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -19,7 +19,7 @@
 mod tests;
 
 use std::cmp::Reverse;
-use std::collections::{BTreeMap, BinaryHeap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, BinaryHeap, VecDeque};
 use std::rc::Rc;
 
 use steprelay_decisions::{Action, CallId, Entry, Event, ListKind, Micros, Report, ServerId, Timer};
@@ -113,6 +113,21 @@
         client: ClientId,
         inputs: u64,
     },
+    /// Nothing more is read from the client once all that has come was handed on; that is told as
+    /// [`Core::client_paused`].
+    Pause {
+        client: ClientId,
+    },
+    /// All that was read from a client that is paused, so many inputs, is answered: its connection is ended, or read
+    /// again where it has been paused for too long.
+    CloseIfPaused {
+        client: ClientId,
+        inputs: u64,
+    },
+    /// The client is read again.
+    Resume {
+        client: ClientId,
+    },
     /// What is promised of a call has changed, `None` for nothing any more; where it was asked for. `by`:
     /// when its caller must have heard of it, where that follows from it.
     Promised {
@@ -180,6 +195,8 @@
     Sweep,
     /// Clients are sent away.
     LetGo,
+    /// The process ends soon: all that is open is answered.
+    AnswerAll,
 }
 
 pub struct Core {
@@ -273,6 +290,7 @@
                     self.letting_go = false;
                     self.let_quiet_go(now);
                 }
+                Wake::AnswerAll => self.answer_all(now),
             }
         }
     }
@@ -288,19 +306,28 @@
         said
     }
 
+    /// Told to stop: everything has its final answer, and the process has ended, before it is killed.
+    pub fn stop(&mut self, now: Micros, replaced: bool) {
+        let longest = self.site.deadlines.iter().copied().max().unwrap_or_default();
+        self.on_duty(now, |duty| duty.stop(now, replaced, longest));
+        self.wakes.extend(self.duty.answers_all_at().map(|at| Reverse((at, Wake::AnswerAll))));
+    }
+
     /// While clients are sent away, has the connections let go of on which nothing waits: neither a set-up
-    /// for its answer nor a release for its confirmation.
+    /// for its answer nor a release for its confirmation. Once no set-ups are taken any more, a client that never
+    /// falls quiet is paused first: what crosses its end comes again elsewhere.
     fn let_quiet_go(&mut self, now: Micros) {
         let Some(from) = self.duty.lets_go_from() else { return };
         if now >= from {
-            let waits = self.relay.unconfirmed(now);
-            // Releases of what stands need a connection that takes them: the one that made most of the calls
-            // stays for them; in the end only for its own, or it would be held idle.
-            let all = self.relay.standing() + self.relay.owed();
-            let stays = self.clients.last_to_go().filter(|(_, own)| self.duty.keeps(now, *own, all));
+            let stays = self.stays(now);
+            let takes = self.duty.takes_set_ups(now);
             for (client, inputs) in self.clients.quiet(now) {
-                if !waits.contains(&client) && stays.is_none_or(|(stays, _)| stays != client) {
-                    self.effects.push(Effect::LetGo { client, inputs });
+                if stays.contains(&client) {
+                    continue;
+                }
+                self.effects.push(Effect::LetGo { client, inputs });
+                if !takes {
+                    self.effects.push(Effect::Pause { client });
                 }
             }
         }
@@ -310,6 +337,28 @@
         }
     }
 
+    /// Clients that are not let go of now.
+    fn stays(&self, now: Micros) -> BTreeSet<ClientId> {
+        let mut stays = self.relay.unconfirmed(now);
+        // Releases of what stands need a connection that takes them: the one that made most of the calls
+        // stays for them; in the end only for its own, or it would be held idle.
+        let all = self.relay.standing() + self.relay.owed();
+        let last = self.clients.last_to_go().filter(|(_, own)| self.duty.keeps(now, *own, all));
+        stays.extend(last.map(|(client, _)| client));
+        stays
+    }
+
+    /// A client is paused, and all that was read from it, so many inputs, has been handed on.
+    pub fn client_paused(&mut self, now: Micros, client: ClientId, inputs: u64) {
+        let closes = !self.duty.takes_set_ups(now)
+            && self.clients.open(client) == 0
+            && !self.stays(now).contains(&client);
+        self.effects.push(match closes {
+            true => Effect::CloseIfPaused { client, inputs },
+            false => Effect::Resume { client },
+        });
+    }
+
     /// Connections of callers.
     pub fn connections(&self) -> usize {
         self.clients.connections()
--- a/core/src/send.rs
+++ b/core/src/send.rs
@@ -13,6 +13,9 @@
 /// Who is sent away comes back after this, since others serve it: its connection is quiet and closed by then.
 const ELSEWHERE: Micros = 100_000;
 
+/// A process that looks at its connections so late was held up.
+const LATE_POLL: Micros = 100_000;
+
 /// Why a set-up did not leave for its server.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum NotSent {
@@ -61,17 +64,29 @@
     pub not_before: Micros,
 }
 
+/// When a set-up is taken to have come that is read now.
+fn came_at(now: Micros, polled: Micros) -> Micros {
+    if now - polled > LATE_POLL {
+        polled
+    } else {
+        now
+    }
+}
+
 impl Core {
     /// A client's set-up. One that crossed the end of its connection on our side is nobody's: its caller
     /// sends it again on another, where it must not be too soon after a first attempt.
-    pub fn offer(&mut self, now: Micros, client: ClientId, request: Request) {
+    ///
+    /// `polled`: when the connections were last looked at. Where that is long ago, as after a process was held up, the
+    /// set-up may have come at any moment since, and counts as taken in time where it can have been.
+    pub fn offer(&mut self, now: Micros, polled: Micros, client: ClientId, request: Request) {
         if !self.clients.is_here(client) {
             return;
         }
         self.clients.heard(client, now);
         self.book.counts.offered += 1;
         let unfit = match self.take_in(now, &request) {
-            Ok(_) if !self.duty.takes_set_ups(now) || self.is_short() => {
+            Ok(_) if !self.duty.takes(came_at(now, polled), answer_by(&request)) || self.is_short() => {
                 Verdict::Refused { wait: self.site.decisions.limits.told_wait(ELSEWHERE) }
             }
             Ok(call) if self.admission.admit(&request, self.clients.open(client)) => {
@@ -213,6 +228,23 @@
         }
     }
 
+    /// Gives every call that is open its final answer now: a refusal where nothing was sent for it.
+    pub(super) fn answer_all(&mut self, now: Micros) {
+        for call in self.pending.keys().copied().collect::<Vec<_>>() {
+            let Some(pending) = self.pending.get(&call) else { continue };
+            let (out, attempts) = (pending.out, pending.attempts);
+            if let Some(Attempt { server, .. }) = out {
+                self.effects.push(Effect::GiveUp { server, call });
+                self.book.unanswered(server, Outcome::Cancelled);
+                self.promise(call, None, None);
+            }
+            let wait = self.site.decisions.limits.told_wait(ELSEWHERE);
+            let verdict = if attempts == 0 { Verdict::Refused { wait } } else { Verdict::Failed };
+            self.finish(now, call, verdict);
+            self.decide(now, Event::Gone { call });
+        }
+    }
+
     /// The client has given a call up before its answer, or can no longer be answered: nothing is owed.
     pub(super) fn abandon(&mut self, now: Micros, call: CallId, over: Over) {
         let Some(pending) = self.pending.get(&call) else { return };
--- a/core/src/tests.rs
+++ b/core/src/tests.rs
@@ -67,7 +67,7 @@
             left,
             was_cut: false,
         };
-        self.core.offer(self.now, client, request);
+        self.core.offer(self.now, self.now, client, request);
         self.core.take_effects()
     }
 
@@ -340,7 +340,7 @@
 fn one_that_was_replaced_takes_nothing_that_its_kill_could_find() {
     let mut stand = Stand::new();
     let now = stand.now;
-    stand.core.on_duty(now, |duty| duty.stop(now, true));
+    stand.core.stop(now, true);
     assert!(set_up_at(&stand.offer(9, 3_000 * MS)).is_some(), "its connection is not closed yet");
     stand.pass(700 * MS);
     assert_eq!(stand.offer(10, 3_000 * MS), [sent_away(10)]);
@@ -435,7 +435,7 @@
             left: MS,
             was_cut: false,
         };
-        stand.core.offer(stand.now, client, Request { left: 2_000 * MS, ..request });
+        stand.core.offer(stand.now, stand.now, client, Request { left: 2_000 * MS, ..request });
         stand.core.take_effects()
     };
     assert!(set_up_at(&again(&mut stand, other, 9)).is_some());
--- a/rig/src/soak/checker.rs
+++ b/rig/src/soak/checker.rs
@@ -9,6 +9,8 @@
 const GRACE: u64 = 500;
 /// A set-up that crosses a close within this time is sent again elsewhere.
 const CROSSING: u64 = 50;
+/// Nothing that comes later than this after SIGTERM is sent on.
+const LATEST: u64 = 1_000;
 /// An attempt that begins later than this behind its client's leaving is wrong.
 const LEAVING: u64 = 100;
 /// Nothing is sent to a server this long after it was told to drain, and 50 ms as on all sockets.
@@ -130,13 +132,16 @@
             [_] => {}
             _ => broken(format!("answered more than once: {:?}", call.answers)),
         }
-        let was_refused = matches!(call.answers[..], [(_, Answer::Refused)]);
         let never_accepted = !matches!(call.answers.first(), Some((_, Answer::Accepted)));
         if never_accepted && call.given_up.is_none() && !call.heard_releases.is_empty() {
             broken("ended after its final answer".into());
         }
-        if call.sent > stopped + SERVED_UNTIL && !call.attempts.is_empty() && was_refused {
-            broken(format!("came late, was sent on to {:?} and refused", call.attempts));
+        let is_late = call.sent > stopped + SERVED_UNTIL && call.sent + call.left > stopped + KILL_AFTER;
+        if is_late && !call.attempts.is_empty() {
+            broken(format!("can't be carried to its end, and was sent on to {:?}", call.attempts));
+        }
+        if call.sent > stopped + LATEST && !call.attempts.is_empty() {
+            broken(format!("came late and was sent on to {:?}", call.attempts));
         }
         let left = call.given_up.or(call.closed.map(|(_, at)| at));
         if let Some(&(at, server)) =
--- a/rig/src/soak/clients.rs
+++ b/rig/src/soak/clients.rs
@@ -31,6 +31,15 @@
         "extras": format!("dest:{server};width:1;via:-1")}})
 }
 
+/// The end of a call, or its acknowledgement.
+fn line(op: &str, call: u64) -> Vec<u8> {
+    let mut message = json!({"op": op, "call": hex(call), "with": {}});
+    if op == "end" {
+        message["why"] = json!(16);
+    }
+    format!("{message}\n").into_bytes()
+}
+
 /// Calls on one connection after the other, for as long as new ones may be opened.
 pub async fn keep_calling(client: Client, address: SocketAddr, record: Record) {
     let mut random = StdRng::seed_from_u64(client.seed);
@@ -81,6 +90,8 @@
         let _ = self.stream.set_nodelay(true);
         let mut due = Instant::now();
         while self.step(&mut due).await.is_ok() {}
+        // Answers that were there before the end, where that was found out by writing.
+        let _ = self.read();
         for call in &self.open {
             self.record.note(What::Closed { call: *call, not_before: self.looked });
         }
@@ -94,10 +105,8 @@
             () = sleep_until(*due) => {}
         }
         self.read()?;
-        if !self.replies.is_empty() {
-            let replies = std::mem::take(&mut self.replies);
-            self.stream.write_all(&replies).await.map_err(|_| Closed)?;
-        }
+        let replies = std::mem::take(&mut self.replies);
+        self.write(&replies).await?;
         if Instant::now() >= *due {
             *due = Instant::now() + millis(self.client.every);
             self.call().await?;
@@ -105,6 +114,10 @@
         Ok(())
     }
 
+    async fn write(&mut self, lines: &[u8]) -> Result<(), Closed> {
+        self.stream.write_all(lines).await.map_err(|_| Closed)
+    }
+
     fn read(&mut self) -> Result<(), Closed> {
         let mut buffer = [0; 16_384];
         loop {
@@ -135,7 +148,7 @@
                 self.open.remove(&call);
                 if self.random.random_ratio(1, RELEASES) {
                     self.record.note(What::ClientReleased { call });
-                    self.reply("end", call);
+                    self.replies.extend(line("end", call));
                 }
             }
             Some("end") if self.open.remove(&call) => {
@@ -145,31 +158,23 @@
             }
             Some("end") => {
                 self.record.note(What::HeardRelease { call });
-                self.reply("ended", call);
+                self.replies.extend(line("ended", call));
             }
             _ => {}
         }
     }
 
-    fn reply(&mut self, op: &str, call: u64) {
-        let mut message = json!({"op": op, "call": hex(call), "with": {}});
-        if op == "end" {
-            message["why"] = json!(16);
-        }
-        self.replies.extend(format!("{message}\n").as_bytes());
-    }
-
     /// Makes the next call; some are given up at once, with the bytes that follow.
     async fn call(&mut self) -> Result<(), Closed> {
         *self.next_call += 1;
         let call = (self.client.number + 1) << 32 | *self.next_call;
         let left = PATIENCE[self.random.random_range(0..PATIENCE.len())];
-        let line = format!("{}\n", offer(call, left, self.random.random_range(0..self.client.servers)));
-        self.stream.write_all(line.as_bytes()).await.map_err(|_| Closed)?;
+        let set_up = format!("{}\n", offer(call, left, self.random.random_range(0..self.client.servers)));
+        self.write(set_up.as_bytes()).await?;
         self.record.note(What::Sent { call, left });
         if self.random.random_ratio(1, GIVES_UP) {
+            self.write(&line("end", call)).await?;
             self.record.note(What::Left { call });
-            self.reply("end", call);
         } else {
             self.open.insert(call);
         }
--- a/rig/src/soak/process.rs
+++ b/rig/src/soak/process.rs
@@ -152,12 +152,16 @@
                     std::fs::write(&self.config, self.template.replace("BOARD", moved))?;
                 }
                 let name = if signal == Signal::Terminate { "-TERM" } else { "-HUP" };
-                if signal == Signal::Terminate && terminated.is_none() {
+                let is_first = signal == Signal::Terminate && terminated.is_none();
+                if is_first {
                     terminated = Some(Instant::now());
-                    self.record.note(What::Terminated);
                 }
                 let id = self.child.id().to_string();
                 Command::new("kill").args([name, &id]).stderr(Stdio::null()).status()?;
+                // It came somewhere in between: the kill is counted from its earliest moment, calls from the latest.
+                if is_first {
+                    self.record.note(What::Terminated);
+                }
             }
             sleep(LOOK).await;
         }
