--- a/agent/src/front/platform/clients.rs
+++ b/agent/src/front/platform/clients.rs
@@ -228,3 +228,6 @@
         | ToClient::Finish => Err(io::ErrorKind::Unsupported.into()),
     }
 }
+
+#[cfg(test)]
+mod tests;
