Name the rig's folder by its process, so that runs at the same time stay apart

Two runs of one test at once used one folder and spoilt each other's files. A rig that ends well removes its folder; one whose test fails leaves its history.

--- a/agent/benches/copies.rs
+++ b/agent/benches/copies.rs
@@ -20,7 +20,8 @@
     let phase = |name: &str, rules| Phase { name: name.into(), rules };
     Setting {
         program: PathBuf::from(env!("CARGO_BIN_EXE_steprelay")),
-        directory: PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join("bench-copies"),
+        directory: PathBuf::from(env!("CARGO_TARGET_TMPDIR"))
+            .join(format!("bench-{}-copies", std::process::id())),
         size: SIZE,
         zones: 3,
         most_out: 1,
--- a/agent/benches/fleet.rs
+++ b/agent/benches/fleet.rs
@@ -22,7 +22,8 @@
 fn setting(name: &str, size: usize, rate: f64, fleet: bool) -> Setting {
     Setting {
         program: PathBuf::from(env!("CARGO_BIN_EXE_steprelay")),
-        directory: PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(format!("bench-{name}")),
+        directory: PathBuf::from(env!("CARGO_TARGET_TMPDIR"))
+            .join(format!("bench-{}-{name}", std::process::id())),
         size,
         zones: 3,
         most_out: 1,
--- a/agent/tests/rigs/mod.rs
+++ b/agent/tests/rigs/mod.rs
@@ -15,7 +15,9 @@
 pub fn setting(name: &str, size: usize, zones: usize) -> Setting {
     Setting {
         program: PathBuf::from(env!("CARGO_BIN_EXE_steprelay")),
-        directory: PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(format!("fleet-{name}")),
+        // Runs of one test at the same time have a folder each.
+        directory: PathBuf::from(env!("CARGO_TARGET_TMPDIR"))
+            .join(format!("fleet-{}-{name}", std::process::id())),
         size,
         zones,
         most_out: 1,
--- a/rig/src/rig.rs
+++ b/rig/src/rig.rs
@@ -639,5 +639,9 @@
         }
         // Else they would call on at whoever has these addresses next.
         self.callers.iter_mut().for_each(Caller::finish);
+        // A test that fails leaves its files and its history.
+        if !std::thread::panicking() {
+            let _ = std::fs::remove_dir_all(&self.setting.directory);
+        }
     }
 }
