Trace leases, adoptions and handovers of a call, and note which machine ended it

Each word to a caller now has the lease that is left and how often calls were given up to a successor; adopted, handed over, given up and over elsewhere are lines of their own. The rig's history names the machine by way of which an end came.

--- a/agent/src/net/copies.rs
+++ b/agent/src/net/copies.rs
@@ -13,6 +13,7 @@
 
 use crate::ports::copies::{Lease, Note};
 use crate::ports::LinkId;
+use crate::trace;
 
 /// A set-up waits so long at most for others to know of it.
 const SET_UP_WITHIN: Micros = 100_000;
@@ -234,6 +235,16 @@
         !self.end.lease.holds(self.renounced)
     }
 
+    /// Traces the lease under which a caller is told something.
+    pub fn trace_lease(&self, effect: &Effect) {
+        match effect {
+            Effect::Answer { call, .. } | Effect::Final { call, .. } | Effect::Released { call, .. } => {
+                trace::lease(*call, self.end.lease.left(), self.renounced);
+            }
+            _ => {}
+        }
+    }
+
     pub fn was_in_doubt(&self) -> bool {
         self.doubt.is_some()
     }
--- a/agent/src/net/owner.rs
+++ b/agent/src/net/owner.rs
@@ -534,16 +534,19 @@
             }
             News::Adopt(records) => {
                 for (call, record) in records {
+                    trace::replicated(copies::call(call), format_args!("adopted as {record:?}"));
                     self.core.adopt(now, copies::call(call), copies::promise(record));
                 }
             }
             News::Handed(changes) => {
                 for (call, record) in changes {
+                    trace::replicated(copies::call(call), format_args!("handed over as {record:?}"));
                     self.core.handed(now, copies::call(call), record.map(copies::promise));
                 }
             }
             News::Renounce(calls) => {
                 let calls: BTreeSet<CallId> = calls.into_iter().map(copies::call).collect();
+                calls.iter().for_each(|call| trace::replicated(*call, "given up to a successor"));
                 self.core.renounce(now, &calls);
                 let untold = self.copies.as_mut().map(|copies| copies.renounced(&calls)).unwrap_or_default();
                 for effect in untold {
@@ -554,7 +557,10 @@
                 }
             }
             News::Over(calls) => {
-                calls.into_iter().for_each(|call| self.core.over_elsewhere(now, copies::call(call)));
+                for call in calls.into_iter().map(copies::call) {
+                    trace::replicated(call, "over, as another member says");
+                    self.core.over_elsewhere(now, call);
+                }
             }
             News::Short(short) => {
                 let refuse = self.copies.as_mut().is_some_and(|copies| copies.short(short));
@@ -581,6 +587,9 @@
     }
 
     fn say(&mut self, now: Micros, effect: Effect) {
+        if let Some(copies) = &self.copies {
+            copies.trace_lease(&effect);
+        }
         match effect {
             Effect::SetUp { server, set_up } => {
                 let call = set_up.call;
--- a/agent/src/ports/copies.rs
+++ b/agent/src/ports/copies.rs
@@ -66,4 +66,10 @@
         let heard = self.renounced.load(Ordering::Acquire) == renounced;
         until == 0 || heard && (self.started.elapsed().as_millis() as u64) < until
     }
+
+    /// Milliseconds until it ends, negative after that; `None` before the first one.
+    pub fn left(&self) -> Option<i64> {
+        let until = self.until.load(Ordering::Acquire);
+        (until > 0).then(|| until as i64 - self.started.elapsed().as_millis() as i64)
+    }
 }
--- a/agent/src/trace.rs
+++ b/agent/src/trace.rs
@@ -113,6 +113,20 @@
     trace!("{} {reason}, server {}", Id(call), server.0);
 }
 
+/// What another member's loss, or its waking up, makes of a call here.
+pub fn replicated(call: CallId, event: impl fmt::Display) {
+    trace!("{} {event}", Id(call));
+}
+
+/// The lease under which a caller is told something. `left`: until it ends, negative after that, `None`
+/// before the first one. `renounced`: how often calls were given up to a successor.
+pub fn lease(call: CallId, left: Option<i64>, renounced: u64) {
+    match left {
+        Some(left) => trace!("{} told with {left} ms of lease left, renounced {renounced}", Id(call)),
+        None => trace!("{} told before the first lease", Id(call)),
+    }
+}
+
 /// What became of a connection to a server.
 pub fn link(link: LinkId, what: impl fmt::Display) {
     trace!("- connection {} to server {} {what}", link.epoch, link.server.0);
--- a/rig/src/checker.rs
+++ b/rig/src/checker.rs
@@ -276,7 +276,7 @@
         let offered = (0, What::Offered { call: 1, machine: "n1".into() });
         let answered = (10, What::Answered { call: 1 });
         let released = (20, What::Released { call: 1 });
-        let ended = (30, What::Ended { call: 1, why: 16 });
+        let ended = (30, What::Ended { call: 1, why: 16, machine: "n1".into() });
         let later = (500, What::Phase { name: "end".into() });
         let good = [offered.clone(), answered.clone(), released.clone(), ended.clone(), later.clone()];
         assert_eq!(judged(&good), Vec::<String>::new());
@@ -320,7 +320,7 @@
         let answered = (10, What::Answered { call: 1 });
         let killed = (20, What::Killed { machine: "n1".into() });
         let released = |at| (at, What::Released { call: 1 });
-        let ended = |at| (at, What::Ended { call: 1, why: 16 });
+        let ended = |at| (at, What::Ended { call: 1, why: 16, machine: "n1".into() });
         let later = (900, What::Phase { name: "end".into() });
         let of = |events: &[(u64, What)]| judged_by(&rules, events);
         let stood = [offered.clone(), asked.clone(), answered, killed.clone()];
--- a/rig/src/history.rs
+++ b/rig/src/history.rs
@@ -19,10 +19,11 @@
     Answered {
         call: u64,
     },
-    /// The call is over, or never stood.
+    /// The call is over, or never stood; by way of which machine.
     Ended {
         call: u64,
         why: u64,
+        machine: String,
     },
     /// The connection on which it was offered has ended.
     Closed {
--- a/rig/src/peers.rs
+++ b/rig/src/peers.rs
@@ -283,7 +283,8 @@
         match message["op"].as_str() {
             Some("accept") => history.note(What::Answered { call }),
             Some("end") => {
-                history.note(What::Ended { call, why: message["why"].as_u64().unwrap_or(0) });
+                let why = message["why"].as_u64().unwrap_or(0);
+                history.note(What::Ended { call, why, machine: machine.into() });
                 open.remove(&call);
                 let heard = json!({"op": "ended", "call": hex(call), "with": {}});
                 if stream.write_all(format!("{heard}\n").as_bytes()).is_err() {
