Answer a call that changed hands once, by the member that knows what was said

Cause: that an answer was held back until others had a copy of it was known to the owner's queue alone; the core took the call for established. Given up while its answer was queued, the answer went out; an answer whose time was over left the call in the core, whose release followed; and a woken member said "failed" of what its successor had ended.

Now a doubt covers all that is promised, an answer that will not be given is withdrawn from the core, and the successor is asked before a caller is told.

--- a/agent/src/net/copies.rs
+++ b/agent/src/net/copies.rs
@@ -36,6 +36,30 @@
     by: Micros,
 }
 
+/// Calls that a successor may have taken over by now.
+#[derive(Debug, Default)]
+pub struct Doubt {
+    /// An attempt was out when the doubt began: a successor can only have called it off.
+    pub out: BTreeSet<CallId>,
+    /// These had an answer or a release then: a successor may say, or have said, that they are over.
+    pub answered: BTreeSet<CallId>,
+}
+
+impl Doubt {
+    fn contains(&self, call: CallId) -> bool {
+        self.out.contains(&call) || self.answered.contains(&call)
+    }
+}
+
+/// Answers that were never given and never will be.
+#[derive(Debug, Default, PartialEq)]
+pub struct Unanswered {
+    /// No successor can have told their callers anything: they are told that they failed.
+    pub fail: Vec<Effect>,
+    /// A successor may have told their callers something, which it is asked first.
+    pub ask: Vec<CallId>,
+}
+
 pub struct Copies {
     end: CopiesEnd,
     noted: u64,
@@ -54,8 +78,9 @@
     heard: VecDeque<(u64, LinkId, CallId)>,
     /// Too few others can take copies: nothing waits for them.
     short: bool,
-    /// Calls that were out when the doubt began.
-    doubt: Option<BTreeSet<CallId>>,
+    doubt: Option<Doubt>,
+    /// Answers to calls of which a successor is asked whether it has ended them.
+    relinquished: BTreeMap<CallId, Effect>,
     /// Went out though too few others knew.
     pub uncopied: u64,
 }
@@ -76,6 +101,7 @@
             heard: VecDeque::new(),
             short: true,
             doubt: None,
+            relinquished: BTreeMap::new(),
             uncopied: 0,
         }
     }
@@ -124,7 +150,7 @@
         let waits = uncovered && !self.short;
         match &effect {
             Effect::Answer { call, .. } => {
-                let doubted = self.doubt.as_ref().is_some_and(|calls| calls.contains(call));
+                let doubted = self.doubts(*call);
                 if !waits && !doubted {
                     self.uncopied += u64::from(uncovered);
                     return Some(effect);
@@ -158,9 +184,22 @@
 
     /// Its caller has gone: it is to hear nothing any more.
     pub fn drop_answer(&mut self, call: CallId) -> bool {
+        self.relinquished.remove(&call);
         self.answers.remove(&call).is_some()
     }
 
+    /// The call is over, and its caller was not told that it stood: it waits no longer than until it is known
+    /// who may say so. Whether there was such an answer.
+    pub fn expire_doubted_answer(&mut self, call: CallId) -> bool {
+        let doubted = self.doubts(call);
+        let waiting = self.answers.get_mut(&call).filter(|_| doubted);
+        waiting.map(|waiting| waiting.by = Micros::MIN).is_some()
+    }
+
+    fn doubts(&self, call: CallId) -> bool {
+        self.doubt.as_ref().is_some_and(|doubt| doubt.contains(call))
+    }
+
     /// A server has released something, and is to hear that once others know.
     pub fn release_came(&mut self, link: LinkId, call: CallId) {
         self.came.push((link, call));
@@ -190,15 +229,14 @@
             self.uncopied += u64::from(number > self.covered);
             self.order.pop_front();
             effects.extend(self.set_ups.remove(&call).map(|waiting| waiting.effect));
-            let doubted = self.doubt.as_ref().is_some_and(|calls| calls.contains(&call));
-            if !doubted {
+            if !self.doubts(call) {
                 effects.extend(self.answers.remove(&call).map(|waiting| waiting.effect));
             }
         }
         // Nobody waits past its time for others.
         let doubt = self.doubt.as_ref();
         let late = |(call, waiting): (&CallId, &Waiting)| {
-            let doubted = doubt.is_some_and(|calls| calls.contains(call));
+            let doubted = doubt.is_some_and(|doubt| doubt.contains(*call));
             (now >= waiting.by && !doubted).then_some(*call)
         };
         let late: Vec<CallId> = self.answers.iter().chain(&self.set_ups).filter_map(late).collect();
@@ -215,12 +253,13 @@
         (effects, heard)
     }
 
-    /// Answers that waited because of a doubt, and whose callers' time is over: they are to get another one.
+    /// Answers that waited because of a doubt, whose callers' time is over and whom no successor can have told
+    /// anything: they are to get another one.
     pub fn given_up(&mut self, now: Micros) -> Vec<Effect> {
-        if self.doubt.is_none() {
-            return Vec::new();
-        }
-        let late = |(call, waiting): (&CallId, &Waiting)| (now >= waiting.by).then_some(*call);
+        let Some(doubt) = &self.doubt else { return Vec::new() };
+        let late = |(call, waiting): (&CallId, &Waiting)| {
+            (now >= waiting.by && doubt.out.contains(call)).then_some(*call)
+        };
         let late: Vec<CallId> = self.answers.iter().filter_map(late).collect();
         late.iter().filter_map(|call| self.answers.remove(call)).map(|waiting| waiting.effect).collect()
     }
@@ -249,21 +288,48 @@
         self.doubt.is_some()
     }
 
-    pub fn doubt_begins(&mut self, out: BTreeSet<CallId>) {
-        let answers = self.answers.keys().copied();
-        self.doubt = Some(out.into_iter().chain(answers).collect());
+    pub fn doubt_begins(&mut self, doubt: Doubt) {
+        self.doubt = Some(doubt);
     }
 
-    /// There is none any more: the answers that waited because of it.
-    pub fn doubt_ends(&mut self) -> Vec<Effect> {
-        let Some(calls) = self.doubt.take() else { return Vec::new() };
-        let waited = calls.iter().filter_map(|call| self.answers.remove(call));
-        waited.map(|waiting| waiting.effect).collect()
+    /// There is none any more: the answers that waited because of it, and those whose callers' time is over.
+    pub fn doubt_ends(&mut self, now: Micros) -> (Vec<Effect>, Vec<Effect>) {
+        let Some(doubt) = self.doubt.take() else { return (Vec::new(), Vec::new()) };
+        let calls = doubt.out.iter().chain(&doubt.answered);
+        let waited: Vec<Waiting> = calls.filter_map(|call| self.answers.remove(call)).collect();
+        let (in_time, late): (Vec<_>, Vec<_>) = waited.into_iter().partition(|waiting| now < waiting.by);
+        let effects = |waited: Vec<Waiting>| waited.into_iter().map(|waiting| waiting.effect).collect();
+        (effects(in_time), effects(late))
     }
 
-    /// These were given up to another; the answers that were never given.
-    pub fn renounced(&mut self, calls: &BTreeSet<CallId>) -> Vec<Effect> {
+    /// These calls were given up to a successor; `queued`: answers to some of them that had not come here yet.
+    pub fn renounced(&mut self, calls: &BTreeSet<CallId>, queued: Vec<Effect>) -> Unanswered {
         self.renounced += 1;
-        calls.iter().filter_map(|call| self.answers.remove(call)).map(|waiting| waiting.effect).collect()
+        let held = calls.iter().filter_map(|call| self.answers.remove(call)).map(|waiting| waiting.effect);
+        let mut unanswered = Unanswered::default();
+        for effect in held.chain(queued) {
+            let Effect::Answer { call, .. } = &effect else { continue };
+            if self.doubt.as_ref().is_some_and(|doubt| doubt.out.contains(call)) {
+                unanswered.fail.push(effect);
+            } else {
+                unanswered.ask.push(*call);
+                self.relinquished.insert(*call, effect);
+            }
+        }
+        if !unanswered.ask.is_empty() {
+            // Lost where there is no room: nothing is said of them then.
+            let _ = self.end.notes.try_send(Note::Relinquished(unanswered.ask.clone()));
+        }
+        unanswered
+    }
+
+    /// The successor has told their callers nothing, and will not: the answers that were never given.
+    pub fn relinquished(&mut self, calls: &[CallId]) -> Vec<Effect> {
+        calls.iter().filter_map(|call| self.relinquished.remove(call)).collect()
+    }
+
+    /// Another member has seen to the end of the call.
+    pub fn over_elsewhere(&mut self, call: CallId) {
+        self.relinquished.remove(&call);
     }
 }
--- a/agent/src/net/owner.rs
+++ b/agent/src/net/owner.rs
@@ -5,15 +5,13 @@
 
 use steprelay_copies::member::News;
 use steprelay_core::duty::State;
-use steprelay_core::{
-    Breach, ClientId, Core, Effect, LinkLoss, NotSent, Promise, ReleaseCause, Source, Verdict,
-};
+use steprelay_core::{Breach, ClientId, Core, Effect, LinkLoss, NotSent, Promise, Source, Verdict};
 use steprelay_decisions::{CallId, Entry, ListKind, Micros, Readiness, ServerId};
 use tokio::sync::mpsc;
 use tokio::task::yield_now;
 use tokio::time::{sleep, sleep_until, Duration};
 
-use super::copies::{Copies, CopiesEnd};
+use super::copies::{Copies, CopiesEnd, Doubt};
 use super::links::{Links, Watch};
 use crate::ports::conn::Outbox;
 use crate::ports::copies;
@@ -483,14 +481,22 @@
         let Some(copies) = &mut self.copies else { return };
         match (copies.in_doubt(), copies.was_in_doubt()) {
             (true, false) => {
-                let out = self.core.promised().filter(|(_, promise)| matches!(promise, Promise::Out(_)));
-                copies.doubt_begins(out.map(|(call, _)| call).collect());
+                let mut doubt = Doubt::default();
+                for (call, promise) in self.core.promised() {
+                    let calls = match promise {
+                        Promise::Out(_) => &mut doubt.out,
+                        Promise::Stands(_) | Promise::Owed(..) => &mut doubt.answered,
+                    };
+                    calls.insert(call);
+                }
+                copies.doubt_begins(doubt);
                 self.core.doubt(now, true);
             }
             (false, true) => {
-                let waited = copies.doubt_ends();
+                let (in_time, late) = copies.doubt_ends(now);
                 self.core.doubt(now, false);
-                waited.into_iter().for_each(|effect| self.say(now, effect));
+                in_time.into_iter().for_each(|effect| self.say(now, effect));
+                self.give_up(now, late);
             }
             _ => {}
         }
@@ -520,9 +526,29 @@
         for effect in answers {
             if let Effect::Answer { client, call, .. } = effect {
                 self.say(now, Effect::Final { client, call, verdict: Verdict::Failed });
-                self.core.client_ended(now, client, call, ReleaseCause::NORMAL);
+                self.core.withdraw_answer(now, call);
+            }
+        }
+    }
+
+    /// A successor has taken these calls over. Whose caller was told nothing yet hears that it failed: at
+    /// once, or when the successor has said that it told it nothing either.
+    fn renounce(&mut self, now: Micros, calls: &BTreeSet<CallId>) {
+        let queued = self.core.take_answers(calls);
+        let Some(copies) = &mut self.copies else { return };
+        let unanswered = copies.renounced(calls, queued);
+        for call in unanswered.ask {
+            trace::replicated(call, "is not answered until its successor says whether it was ended");
+            self.core.withdraw_answer(now, call);
+        }
+        for effect in &unanswered.fail {
+            if let (Effect::Answer { call, .. }, Some(copies)) = (effect, &mut self.copies) {
+                // What was noted of it last is handed over, too.
+                copies.passed_on(*call);
             }
         }
+        self.give_up(now, unanswered.fail);
+        self.core.renounce(now, calls);
     }
 
     fn heard_of_copies(&mut self, now: Micros, news: News) {
@@ -547,18 +573,18 @@
             News::Renounce(calls) => {
                 let calls: BTreeSet<CallId> = calls.into_iter().map(copies::call).collect();
                 calls.iter().for_each(|call| trace::replicated(*call, "given up to a successor"));
-                self.core.renounce(now, &calls);
-                let untold = self.copies.as_mut().map(|copies| copies.renounced(&calls)).unwrap_or_default();
-                for effect in untold {
-                    // It stands nowhere any more: whoever took it over has ended it.
-                    if let Effect::Answer { client, call, .. } = effect {
-                        self.say(now, Effect::Final { client, call, verdict: Verdict::Failed });
-                    }
-                }
+                self.renounce(now, &calls);
+            }
+            News::Relinquished(calls) => {
+                let calls: Vec<CallId> = calls.into_iter().map(copies::call).collect();
+                let answers =
+                    self.copies.as_mut().map(|copies| copies.relinquished(&calls)).unwrap_or_default();
+                self.give_up(now, answers);
             }
             News::Over(calls) => {
                 for call in calls.into_iter().map(copies::call) {
                     trace::replicated(call, "over, as another member says");
+                    self.copies.iter_mut().for_each(|copies| copies.over_elsewhere(call));
                     self.core.over_elsewhere(now, call);
                 }
             }
@@ -575,6 +601,9 @@
         if self.copies.is_some() {
             self.look_at_doubt(now);
             if let Effect::Released { call, .. } = &effect {
+                if self.copies.as_mut().is_some_and(|copies| copies.expire_doubted_answer(*call)) {
+                    return self.core.withdraw_answer(now, *call);
+                }
                 let first = self.copies.as_mut().and_then(|copies| copies.answer_first(*call));
                 first.into_iter().for_each(|effect| self.say(now, effect));
             }
--- a/agent/src/net/owner/tests.rs
+++ b/agent/src/net/owner/tests.rs
@@ -5,10 +5,12 @@
 use crate::ports::conn::{self, Inbox, Weight};
 use crate::ports::copies::Lease;
 use std::sync::Arc;
-use steprelay_core::{Bounds, Request};
+use steprelay_core::{Bounds, ReleaseCause, Request};
 use steprelay_decisions::{Cause, Report, Settings};
 use steprelay_settings::Site;
 
+mod failover;
+
 const SERVER: ServerId = ServerId(1);
 const CALL: CallId = CallId(7);
 
@@ -77,16 +79,24 @@
 
 /// The same, where promises are copied: with the ends that whoever copies them has.
 fn with_copies() -> (Owner, Inbox<ToClient>, LinkId, Inbox<ToServer>, Arc<Lease>) {
-    let (mut owner, inbox, link, to_server) = with_call();
-    let (notes, noted) = mpsc::channel(64);
+    let (owner, inbox, link, to_server, lease, noted) = with_noted_copies();
     // Kept for as long as the owner: a closed one takes no notes.
     std::mem::forget(noted);
+    (owner, inbox, link, to_server, lease)
+}
+
+type NotedCopies =
+    (Owner, Inbox<ToClient>, LinkId, Inbox<ToServer>, Arc<Lease>, mpsc::Receiver<copies::Note>);
+
+fn with_noted_copies() -> NotedCopies {
+    let (mut owner, inbox, link, to_server) = with_call();
+    let (notes, noted) = mpsc::channel(64);
     // Of a second ago: a lease may have run out by now.
     let started = std::time::Instant::now().checked_sub(std::time::Duration::from_secs(1));
     let lease = Arc::new(Lease::new(started.expect("the machine runs for longer")));
     let end = CopiesEnd { notes, lease: lease.clone(), after_copies: true, refuse_short: false };
     owner.copy(end);
-    (owner, inbox, link, to_server, lease)
+    (owner, inbox, link, to_server, lease, noted)
 }
 
 fn hears(owner: &mut Owner, news: News) {
--- a/copies/src/member.rs
+++ b/copies/src/member.rs
@@ -73,6 +73,8 @@
     Renounce(BTreeSet<Call>),
     /// Others have seen to the end of these calls.
     Over(Vec<Call>),
+    /// Of calls that were relinquished: the successor has told their callers nothing, and never will.
+    Relinquished(Vec<Call>),
     /// Whether too few others can take copies.
     Short(bool),
 }
@@ -108,14 +110,29 @@
 #[derive(Debug)]
 struct Handing {
     count: u64,
-    stream: StreamId,
-    epoch: u64,
-    to: String,
+    to: Successor,
     changes: Vec<Change>,
+    /// These calls were relinquished: the process waits to be told that they are the successor's no more.
+    relinquished: bool,
     said: Option<Millis>,
     until: Millis,
 }
 
+/// Who writes a stream after its writer was taken for lost.
+#[derive(Clone, Debug)]
+struct Successor {
+    name: String,
+    stream: StreamId,
+    epoch: u64,
+}
+
+/// The end of a call that a member was told of, or has itself told the caller of.
+#[derive(Clone, Copy, Debug)]
+struct Ended {
+    at: Millis,
+    here: bool,
+}
+
 #[derive(Debug)]
 pub struct Member {
     name: String,
@@ -136,12 +153,15 @@
     paused: Option<BTreeSet<Call>>,
     placed: Option<Millis>,
     avoided: BTreeMap<String, Millis>,
-    overs: BTreeMap<Call, Millis>,
+    overs: BTreeMap<Call, Ended>,
     over_order: VecDeque<Call>,
     passed_on: Vec<Call>,
     tellings: VecDeque<Telling>,
     handings: Vec<Handing>,
+    /// Of this member's own stream of before.
+    successor: Option<Successor>,
     settling: BTreeMap<StreamId, Millis>,
+    settled: Vec<StreamId>,
     short: bool,
     count: u64,
     figures: Figures,
@@ -173,7 +193,9 @@
             passed_on: Vec::new(),
             tellings: VecDeque::new(),
             handings: Vec::new(),
+            successor: None,
             settling: BTreeMap::new(),
+            settled: Vec::new(),
             short: limits.needed > 0,
             count: 0,
             figures: Figures::default(),
@@ -262,16 +284,43 @@
 
     /// The process has given the release of a call that it did not know: others must hear that it is over.
     pub fn passed_on(&mut self, now: Millis, call: Call) {
-        self.remember(now, call);
-        self.passed_on.push(call);
+        if !self.ended_here(call) {
+            self.remember(call, Ended { at: now, here: true });
+            self.passed_on.push(call);
+        }
+    }
+
+    /// Calls that were given up to the successor of this member's own stream, and whose callers were told
+    /// nothing here: the successor is asked to drop them, and says which of them it has ended.
+    pub fn relinquish(&mut self, now: Millis, calls: Vec<Call>) {
+        let Some(successor) = self.successor.clone() else {
+            return self.news.push_back(News::Relinquished(calls));
+        };
+        for calls in calls.chunks(MOST_CALLS) {
+            let changes = calls.iter().map(|call| (*call, None)).collect();
+            self.hand(now, &successor, changes, true);
+        }
+    }
+
+    fn hand(&mut self, now: Millis, to: &Successor, changes: Vec<Change>, relinquished: bool) {
+        self.count += 1;
+        let (count, to, until) = (self.count, to.clone(), now + TOLD_FOR);
+        self.handings.push(Handing { count, to, changes, relinquished, said: None, until });
     }
 
-    fn remember(&mut self, now: Millis, call: Call) {
-        if self.overs.insert(call, now).is_none() {
+    fn ended_here(&self, call: Call) -> bool {
+        self.overs.get(&call).is_some_and(|ended| ended.here)
+    }
+
+    fn remember(&mut self, call: Call, ended: Ended) {
+        let Ended { at: now, here } = ended;
+        let before = self.overs.get(&call).map(|ended| ended.here);
+        self.overs.insert(call, Ended { at: now, here: here || before == Some(true) });
+        if before.is_none() {
             self.over_order.push_back(call);
         }
         while let Some(oldest) = self.over_order.front().copied() {
-            let old = self.overs.get(&oldest).is_none_or(|at| now > at + REMEMBER);
+            let old = self.overs.get(&oldest).is_none_or(|ended| now > ended.at + REMEMBER);
             if !old && self.over_order.len() <= MOST_REMEMBERED {
                 break;
             }
@@ -291,7 +340,8 @@
                 self.takeovers.values_mut().for_each(|takeover| takeover.received(from, word.clone()));
             }
             Word::Over { count, calls } => {
-                calls.iter().for_each(|call| self.remember(now, *call));
+                let ended = Ended { at: now, here: false };
+                calls.iter().for_each(|call| self.remember(*call, ended));
                 self.news.push_back(News::Over(calls));
                 self.words.push((from.into(), Word::OverHeard { count }));
             }
@@ -301,15 +351,18 @@
                 }
             }
             Word::Handover { count, stream, epoch, changes } => {
-                // Once what the holders had is taken up; the other says it again until then.
-                let taken = self.adopted.get(&stream).is_some_and(|writer| writer.epoch() == epoch);
-                if taken || self.settling.contains_key(&stream) {
-                    let calls = changes.into_iter().filter(|(call, _)| !self.overs.contains_key(call));
-                    self.news.push_back(News::Handed(calls.collect()));
-                    self.words.push((from.into(), Word::HandedOver { count }));
+                self.take_handover(from, count, stream, epoch, changes);
+            }
+            Word::HandedOver { count } => {
+                let (done, open): (Vec<_>, Vec<_>) = std::mem::take(&mut self.handings)
+                    .into_iter()
+                    .partition(|handing| handing.count == count);
+                self.handings = open;
+                for handing in done.into_iter().filter(|handing| handing.relinquished) {
+                    let calls = handing.changes.into_iter().map(|(call, _)| call).collect();
+                    self.news.push_back(News::Relinquished(calls));
                 }
             }
-            Word::HandedOver { count } => self.handings.retain(|handing| handing.count != count),
             word => {
                 if let Some(answer) = self.holder.received(now, from, boot, word) {
                     self.words.push((from.into(), answer));
@@ -319,6 +372,24 @@
         self.look_at_covered();
     }
 
+    /// What the writer of a stream that this member took over noted last. It says it again until what the
+    /// holders had is taken up here.
+    fn take_handover(&mut self, from: &str, count: u64, stream: StreamId, epoch: u64, changes: Vec<Change>) {
+        let taken = self.adopted.get(&stream).is_some_and(|writer| writer.epoch() == epoch);
+        if !taken && !self.settling.contains_key(&stream) && !self.settled.contains(&stream) {
+            return;
+        }
+        // Ahead of the confirmation, so that the other one does not end them too.
+        let dropped = changes.iter().filter(|(_, record)| record.is_none()).map(|(call, _)| *call);
+        let calls: Vec<Call> = dropped.filter(|call| self.ended_here(*call)).collect();
+        if !calls.is_empty() {
+            self.words.push((from.into(), Word::Over { count: 0, calls }));
+        }
+        let calls = changes.into_iter().filter(|(call, _)| !self.overs.contains_key(call));
+        self.news.push_back(News::Handed(calls.collect()));
+        self.words.push((from.into(), Word::HandedOver { count }));
+    }
+
     fn at_writers(&mut self, now: Millis, from: &str, boot: u64, word: &Word) {
         for writer in [&mut self.own].into_iter().chain(self.adopted.values_mut()) {
             writer.received(now, from, boot, word.clone());
@@ -358,6 +429,7 @@
 
     /// Time has passed, and the fleet is so.
     pub fn tick(&mut self, now: Millis, known: &Known) {
+        self.settled.clone_from(&known.settled);
         for stream in &known.settled {
             self.holder.over(*stream);
             self.settling.remove(stream);
@@ -398,13 +470,13 @@
             let Authority { stream, name, boot, epoch } = authority;
             self.holder.fence(*stream, *epoch);
             if *stream == self.own.stream() {
-                self.succeeded(now, name, *epoch);
+                self.succeeded(now, authority);
                 continue;
             }
             let mine = name == &self.name && *boot == self.boot;
             if self.adopted.get(stream).is_some_and(|writer| !mine || writer.epoch() < *epoch) {
                 if let Some(writer) = self.adopted.remove(stream) {
-                    self.hand_over(now, &writer, name, *epoch);
+                    self.hand_over(now, &writer, authority);
                     let calls: BTreeSet<Call> = writer.records().keys().copied().collect();
                     self.routed.retain(|call, _| !calls.contains(call));
                     self.renounce(calls);
@@ -420,12 +492,12 @@
     }
 
     /// This member's own stream has a successor: it was taken for lost.
-    fn succeeded(&mut self, now: Millis, by: &str, epoch: u64) {
+    fn succeeded(&mut self, now: Millis, by: &Authority) {
         let all = || self.own.records().keys().copied().collect();
         let exposed: BTreeSet<Call> = self.paused.clone().unwrap_or_else(all);
-        let next = StreamId(self.own.stream().0.rotate_left(23) ^ self.boot ^ epoch);
+        let next = StreamId(self.own.stream().0.rotate_left(23) ^ self.boot ^ by.epoch);
         let old = std::mem::replace(&mut self.own, Writer::new(next, self.limits));
-        self.hand_over(now, &old, by, epoch);
+        self.successor = Some(self.hand_over(now, &old, by));
         // What came since nobody else could hear of it goes on here.
         for (call, record) in old.records().iter().filter(|(call, _)| !exposed.contains(call)) {
             self.own.note(*call, Some(*record));
@@ -441,7 +513,7 @@
         self.news.push_back(News::Renounce(calls));
     }
 
-    fn hand_over(&mut self, now: Millis, old: &Writer, to: &str, epoch: u64) {
+    fn hand_over(&mut self, now: Millis, old: &Writer, by: &Authority) -> Successor {
         let exposed = self.paused.as_ref();
         let known = |call: &Call| exposed.is_none_or(|calls| calls.contains(call));
         let changes: Vec<Change> = old.unsure();
@@ -450,12 +522,11 @@
             !matches!(record, Some(Record::Out { .. })) && (record.is_none() || known(call))
         });
         let changes: Vec<Change> = told.collect();
+        let successor = Successor { name: by.name.clone(), stream: old.stream(), epoch: by.epoch };
         for changes in changes.chunks(MOST_CALLS) {
-            self.count += 1;
-            let (count, stream, to, until) = (self.count, old.stream(), to.to_string(), now + TOLD_FOR);
-            let changes = changes.to_vec();
-            self.handings.push(Handing { count, stream, epoch, to, changes, said: None, until });
+            self.hand(now, &successor, changes.to_vec(), false);
         }
+        successor
     }
 
     fn begin_takeover(&mut self, now: Millis, known: &Known, stream: StreamId, epoch: u64) {
@@ -555,13 +626,23 @@
                 self.words.push((to.clone(), word));
             }
         }
-        self.handings.retain(|handing| now < handing.until);
+        self.expire_handings(now);
         for handing in self.handings.iter_mut().filter(|handing| due(handing.said)) {
             handing.said = Some(now);
-            let Handing { count, stream, epoch, changes, .. } = handing;
-            let word =
-                Word::Handover { count: *count, stream: *stream, epoch: *epoch, changes: changes.clone() };
-            self.words.push((handing.to.clone(), word));
+            let Handing { count, to, changes, .. } = handing;
+            let Successor { name, stream, epoch } = to.clone();
+            let word = Word::Handover { count: *count, stream, epoch, changes: changes.clone() };
+            self.words.push((name, word));
+        }
+    }
+
+    /// What a successor has not confirmed by now stays its own.
+    fn expire_handings(&mut self, now: Millis) {
+        let (open, late): (Vec<_>, Vec<_>) =
+            std::mem::take(&mut self.handings).into_iter().partition(|handing| now < handing.until);
+        self.handings = open;
+        for handing in late.into_iter().filter(|handing| handing.relinquished) {
+            self.news.push_back(News::Over(handing.changes.into_iter().map(|(call, _)| call).collect()));
         }
     }
 
--- /dev/null
+++ b/copies/tests/handover.rs
@@ -0,0 +1,151 @@
+//! A member that wakes and its successor: which of them tells callers that calls are over.
+
+use steprelay_copies::member::{Authority, Known, Member, News, Other};
+use steprelay_copies::words::Word;
+use steprelay_copies::writer::Limits;
+use steprelay_copies::{Millis, Record, StreamId};
+
+const BOOTS: [u64; 2] = [41, 42];
+const CALL: u64 = 7;
+const TICK: Millis = 50;
+
+/// Member 0 promises calls and sleeps; member 1 holds its copies and succeeds it.
+struct Pair {
+    now: Millis,
+    members: [Member; 2],
+    authorities: Vec<Authority>,
+    settled: Vec<StreamId>,
+    leased: [bool; 2],
+}
+
+fn name(member: usize) -> String {
+    format!("n{member}")
+}
+
+impl Pair {
+    fn new() -> Self {
+        let limits = Limits { copies: 1, needed: 1 };
+        let member = |of: usize| Member::new(&name(of), "z1", BOOTS[of], limits);
+        let (authorities, settled) = (Vec::new(), Vec::new());
+        Pair { now: 1_000, members: [0, 1].map(member), authorities, settled, leased: [true, true] }
+    }
+
+    fn known(&self, of: usize) -> Known {
+        let other = 1 - of;
+        let others = vec![Other { name: name(other), zone: "z2".into(), boot: BOOTS[other], serves: true }];
+        let (authorities, settled) = (self.authorities.clone(), self.settled.clone());
+        Known { leased: self.leased[of], others, authorities, settled }
+    }
+
+    /// Both live on for so long, and hear each other; what each of them is told.
+    fn live(&mut self, ticks: u64) -> [Vec<News>; 2] {
+        let mut news = [Vec::new(), Vec::new()];
+        for _ in 0..ticks {
+            self.now += TICK;
+            for of in [0, 1] {
+                let known = self.known(of);
+                self.members[of].tick(self.now, &known);
+            }
+            for from in [0, 1, 0, 1] {
+                for (to, word) in self.members[from].take_words() {
+                    let to = if to == name(0) { 0 } else { 1 };
+                    self.members[to].received(self.now, &name(from), BOOTS[from], word);
+                }
+            }
+            for (of, heard) in news.iter_mut().enumerate() {
+                heard.extend(std::iter::from_fn(|| self.members[of].take_news()));
+            }
+        }
+        news
+    }
+
+    /// Member 0 slept, and member 1 writes its stream on.
+    fn succeed(&mut self) -> [Vec<News>; 2] {
+        self.leased[0] = false;
+        let before = self.live(1);
+        let stream = StreamId(BOOTS[0]);
+        self.authorities = vec![Authority { stream, name: name(1), boot: BOOTS[1], epoch: 1 }];
+        let mut after = self.live(20);
+        for (of, news) in before.into_iter().enumerate() {
+            after[of].splice(0..0, news);
+        }
+        after
+    }
+
+    fn with_established_call() -> Self {
+        let mut pair = Pair::new();
+        pair.live(20);
+        pair.members[0].note(CALL, Some(Record::Stands { server: 1 }));
+        pair.live(5);
+        pair
+    }
+}
+
+fn relinquished(news: &[News]) -> bool {
+    news.contains(&News::Relinquished(vec![CALL]))
+}
+
+/// Guards against two final answers of one call, the successor's and that of the member that wakes.
+#[test]
+fn says_which_relinquished_calls_it_has_ended_before_it_confirms() {
+    for ended_by_successor in [false, true] {
+        let mut pair = Pair::with_established_call();
+        let [woken, successor] = pair.succeed();
+        assert!(successor.contains(&News::Adopt(vec![(CALL, Record::Stands { server: 1 })])));
+        assert!(woken.contains(&News::Renounce([CALL].into())));
+        if ended_by_successor {
+            // The member that sleeps is not among the others that are told at once.
+            pair.members[1].passed_on(pair.now, CALL);
+        }
+        pair.members[0].relinquish(pair.now, vec![CALL]);
+        let [woken, successor] = pair.live(10);
+        let over = woken.iter().position(|news| *news == News::Over(vec![CALL]));
+        let confirmed = woken.iter().position(|news| *news == News::Relinquished(vec![CALL]));
+        assert!(confirmed.is_some(), "{woken:?}");
+        assert_eq!(over.is_some_and(|over| Some(over) < confirmed), ended_by_successor, "{woken:?}");
+        let dropped = successor.contains(&News::Handed(vec![(CALL, None)]));
+        assert_eq!(dropped, !ended_by_successor, "{successor:?}");
+    }
+}
+
+/// Guards against callers that are told nothing, since the successor had kept all and forgot the stream.
+#[test]
+fn confirms_relinquished_calls_of_a_stream_that_is_settled() {
+    let mut pair = Pair::with_established_call();
+    pair.succeed();
+    pair.members[1].note(CALL, None);
+    pair.live(1);
+    pair.settled = pair.authorities.drain(..).map(|authority| authority.stream).collect();
+    pair.live(1);
+    pair.members[0].relinquish(pair.now, vec![CALL]);
+    assert!(relinquished(&pair.live(10)[0]));
+}
+
+/// Guards against a caller that is told a verdict which the successor may have contradicted, or will.
+#[test]
+fn leaves_calls_to_a_successor_that_never_confirms() {
+    let mut pair = Pair::with_established_call();
+    pair.succeed();
+    pair.members[0].relinquish(pair.now, vec![CALL]);
+    let mut news = Vec::new();
+    for _ in 0..300 {
+        pair.now += TICK;
+        let known = pair.known(0);
+        pair.members[0].tick(pair.now, &known);
+        pair.members[0].take_words();
+        news.extend(std::iter::from_fn(|| pair.members[0].take_news()));
+    }
+    assert!(!relinquished(&news) && news.contains(&News::Over(vec![CALL])), "{news:?}");
+}
+
+/// Guards against the answer to the question being taken for news of this member's own.
+#[test]
+fn says_nothing_of_calls_that_others_ended() {
+    let mut pair = Pair::with_established_call();
+    pair.succeed();
+    let over = Word::Over { count: 9, calls: vec![CALL] };
+    pair.members[1].received(pair.now, "n9", 99, over);
+    pair.members[0].relinquish(pair.now, vec![CALL]);
+    let [woken, _] = pair.live(10);
+    assert!(relinquished(&woken) && !woken.contains(&News::Over(vec![CALL])), "{woken:?}");
+}
--- a/core/src/promise.rs
+++ b/core/src/promise.rs
@@ -52,10 +52,6 @@
         self.promises.short
     }
 
-    pub(super) fn promise_is_told(&self) -> bool {
-        self.promises.told
-    }
-
     /// The promise of a call is another one, or over. `by`: when its caller must have heard of it, where that
     /// follows from it.
     pub(super) fn promise(&mut self, call: CallId, promise: Option<Promise>, by: Option<Micros>) {
@@ -90,6 +86,24 @@
         self.promises.doubt.is_some_and(|from| since < from)
     }
 
+    /// Whether another call agent may tell the caller that this call is over: the one that had it before.
+    pub(super) fn is_shared(&self, standing: &Standing) -> bool {
+        standing.is_adopted()
+    }
+
+    /// All members are told that this call's release is given here, where promises are told.
+    pub(super) fn pass_on_to_members(&mut self, call: CallId) {
+        if self.promises.told && BoundCall::of(call).is_none() {
+            self.effects.push(Effect::PassedOn { call });
+        }
+    }
+
+    /// Gives the release of a call that another call agent had.
+    fn release_adopted(&mut self, now: Micros, server: ServerId, call: CallId, cause: ReleaseCause) {
+        self.pass_on_to_members(call);
+        self.release_to(now, None, server, call, cause);
+    }
+
     /// A server went; what stood there is looked at again once there is no doubt.
     pub(super) fn note_gone(&mut self, server: ServerId, before: Micros) {
         if self.promises.doubt.is_some() && !self.promises.gone.contains(&(server, before)) {
@@ -113,8 +127,8 @@
                 let attempt = Attempt { server, number: 0, sent: now };
                 self.relay.adopt(call, Standing::adopted(attempt));
             }
-            Promise::Stands(server) => self.release_to(now, None, server, call, ReleaseCause::TEMPORARY),
-            Promise::Owed(server, cause) => self.release_to(now, None, server, call, cause),
+            Promise::Stands(server) => self.release_adopted(now, server, call, ReleaseCause::TEMPORARY),
+            Promise::Owed(server, cause) => self.release_adopted(now, server, call, cause),
         }
     }
 
@@ -125,16 +139,39 @@
             Some(Promise::Owed(server, cause)) => {
                 let stood = self.relay.take_standing(call);
                 if let Some(standing) = stood {
-                    self.release_to(now, None, server, call, cause);
+                    self.release_adopted(now, server, call, cause);
                     self.call_over(now, call, standing, Outcome::Ok, Report::default());
                 } else if !self.is_known(call) {
-                    self.release_to(now, None, server, call, cause);
+                    self.release_adopted(now, server, call, cause);
                 }
             }
             Some(promise) => self.adopt(now, call, promise),
         }
     }
 
+    /// The answer to a call will not be given to its caller: the call ends at its server, and what its server
+    /// says of it later is nobody's news.
+    pub fn withdraw_answer(&mut self, now: Micros, call: CallId) {
+        if let Some(standing) = self.relay.take_standing(call) {
+            self.promise(call, None, None);
+            let (server, cause) = (standing.server(), ReleaseCause::NORMAL);
+            self.effects.push(Effect::Release { server, call, cause });
+            self.call_over(now, call, standing, Outcome::Cancelled, Report::default());
+        } else if self.relay.is_known(call) {
+            self.relay.forget_owed(call);
+            self.promise(call, None, None);
+        }
+        self.effects.retain(|effect| !matches!(effect, Effect::Released { call: of, .. } if *of == call));
+        self.book.note_over(call, Over::Answered);
+    }
+
+    /// Takes back answers to these calls that have not left the core yet.
+    pub fn take_answers(&mut self, calls: &BTreeSet<CallId>) -> Vec<Effect> {
+        let is_answer =
+            |effect: &mut Effect| matches!(effect, Effect::Answer { call, .. } if calls.contains(call));
+        self.effects.extract_if(.., is_answer).collect()
+    }
+
     /// Another call agent has seen to the end of this call.
     pub fn over_elsewhere(&mut self, now: Micros, call: CallId) {
         if let Some(standing) = self.relay.take_standing(call) {
--- a/core/src/relay.rs
+++ b/core/src/relay.rs
@@ -36,6 +36,14 @@
     pub fn adopted(attempt: Attempt) -> Self {
         Standing { client: None, attempt, since: 0 }
     }
+
+    pub fn server(&self) -> ServerId {
+        self.attempt.server
+    }
+
+    pub fn is_adopted(&self) -> bool {
+        self.client.is_none()
+    }
 }
 
 /// A release that no caller has confirmed.
@@ -190,9 +198,7 @@
                 self.effects.push(Effect::Release { server, call, cause });
             }
             self.book.note_over(call, Over::Answered);
-            if self.promise_is_told() {
-                self.effects.push(Effect::PassedOn { call });
-            }
+            self.pass_on_to_members(call);
         }
     }
 
@@ -246,6 +252,9 @@
         let standing = self.relay.stands(call).filter(|standing| standing.attempt.server == server);
         if let Some(&standing) = standing {
             self.relay.standing.remove(&call);
+            if self.is_shared(&standing) {
+                self.pass_on_to_members(call);
+            }
             self.release_to(now, standing.client, server, call, cause);
             return self.call_over(now, call, standing, cause.outcome_after_answer(), report);
         }
@@ -258,9 +267,7 @@
             self.book.counts.released_unknown += 1;
             self.book.note_over(call, Over::Answered);
             let client = BoundCall::of(call).map(BoundCall::client_id);
-            if self.promise_is_told() {
-                self.effects.push(Effect::PassedOn { call });
-            }
+            self.pass_on_to_members(call);
             self.release_to(now, client, server, call, cause);
         }
     }
@@ -289,6 +296,9 @@
             .filter(|(_, standing)| !self.is_doubted(standing.since));
         for (call, standing) in cut.map(|(call, standing)| (*call, *standing)).collect::<Vec<_>>() {
             self.relay.standing.remove(&call);
+            if self.is_shared(&standing) {
+                self.pass_on_to_members(call);
+            }
             self.release_to(now, standing.client, server, call, ReleaseCause::TEMPORARY);
             self.call_over(now, call, standing, Outcome::Reset, Report::default());
         }
