Tell all members of a release that may be another's before it is passed on

Traced, call 3: n3 passes the release on 9,657 ms past its lease, its caller confirms 39 ms later, n5 is handed "Owed" and gives it 289 ms after n3 did.

Whoever passes on such a release now tells all members first, keeps it until it is confirmed, also behind a succession, and hands it to nobody.

Each of the five guards taken out makes a new test fail; the test of what a successor has ended misses its guard now, too.

--- a/agent/src/net/copies.rs
+++ b/agent/src/net/copies.rs
@@ -126,6 +126,14 @@
         let _ = self.end.notes.try_send(Note::PassedOn(call));
     }
 
+    /// The release of a call leaves. One that a successor may have taken over by now is not to be given there,
+    /// too, also where it was decided on before the doubt.
+    pub fn release_leaves(&mut self, call: CallId) {
+        if self.doubts(call) {
+            self.passed_on(call);
+        }
+    }
+
     fn say(&mut self, note: Note) {
         if !self.behind && self.end.notes.try_send(note).is_ok() {
             self.noted += 1;
--- a/agent/src/net/owner.rs
+++ b/agent/src/net/owner.rs
@@ -604,6 +604,7 @@
                 if self.copies.as_mut().is_some_and(|copies| copies.expire_doubted_answer(*call)) {
                     return self.core.withdraw_answer(now, *call);
                 }
+                self.copies.iter_mut().for_each(|copies| copies.release_leaves(*call));
                 let first = self.copies.as_mut().and_then(|copies| copies.answer_first(*call));
                 first.into_iter().for_each(|effect| self.say(now, effect));
             }
--- a/agent/src/net/owner/tests/failover.rs
+++ b/agent/src/net/owner/tests/failover.rs
@@ -116,3 +116,35 @@
         assert!(sleeper.said().is_empty());
     }
 }
+
+/// Guards against a release that the member that wakes passes on, and its successor is handed.
+#[test]
+fn tells_all_members_of_a_release_that_it_passes_on_before_it_notes_it() {
+    let mut sleeper = Sleeper::new();
+    sleeper.answered();
+    sleeper.owner.carry_out();
+    hears(&mut sleeper.owner, News::Covered(1));
+    assert!(matches!(sleeper.said()[..], [ToClient::Answer { call: CALL, .. }]));
+    sleeper.wakes();
+    while sleeper.notes.try_recv().is_ok() {}
+    sleeper.owner.take(ended(sleeper.link));
+    assert!(matches!(sleeper.said()[..], [ToClient::Released { call: CALL, .. }]));
+    assert_eq!(sleeper.notes.try_recv(), Ok(Note::PassedOn(CALL)));
+    sleeper.is_succeeded();
+    // It stays this member's: it gives it again until a caller confirms it.
+    assert_eq!(sleeper.owner.core.promised().count(), 1);
+}
+
+/// Guards against the same release from both, where it was decided on before the member fell asleep.
+#[test]
+fn tells_all_members_of_a_release_that_was_queued_when_it_fell_asleep() {
+    let mut sleeper = Sleeper::new();
+    sleeper.answered();
+    sleeper.owner.carry_out();
+    hears(&mut sleeper.owner, News::Covered(1));
+    sleeper.said();
+    sleeper.owner.take(ended(sleeper.link));
+    sleeper.wakes();
+    assert!(matches!(sleeper.said()[..], [ToClient::Released { call: CALL, .. }]));
+    assert!(sleeper.noted(|note| *note == Note::PassedOn(CALL)));
+}
--- a/copies/src/member.rs
+++ b/copies/src/member.rs
@@ -498,9 +498,16 @@
         let next = StreamId(self.own.stream().0.rotate_left(23) ^ self.boot ^ by.epoch);
         let old = std::mem::replace(&mut self.own, Writer::new(next, self.limits));
         self.successor = Some(self.hand_over(now, &old, by));
-        // What came since nobody else could hear of it goes on here.
-        for (call, record) in old.records().iter().filter(|(call, _)| !exposed.contains(call)) {
-            self.own.note(*call, Some(*record));
+        // What came since nobody else could hear of it goes on here, and releases that are given here.
+        let kept = |call: &Call| !exposed.contains(call) || self.ended_here(*call);
+        let kept: Vec<(Call, Record)> = old
+            .records()
+            .iter()
+            .filter(|(call, _)| kept(call))
+            .map(|(call, record)| (*call, *record))
+            .collect();
+        for (call, record) in kept {
+            self.own.note(call, Some(record));
         }
         self.waiting.retain(|(_, stream, _)| *stream != old.stream());
         self.waiting.push_back((self.noted, next, self.own.number()));
@@ -521,7 +528,8 @@
         let told = changes.into_iter().filter(|(call, record)| {
             !matches!(record, Some(Record::Out { .. })) && (record.is_none() || known(call))
         });
-        let changes: Vec<Change> = told.collect();
+        // Of what is given here all members are told that it is over.
+        let changes: Vec<Change> = told.filter(|(call, _)| !self.ended_here(*call)).collect();
         let successor = Successor { name: by.name.clone(), stream: old.stream(), epoch: by.epoch };
         for changes in changes.chunks(MOST_CALLS) {
             self.hand(now, &successor, changes.to_vec(), false);
--- a/copies/tests/handover.rs
+++ b/copies/tests/handover.rs
@@ -16,6 +16,10 @@
     authorities: Vec<Authority>,
     settled: Vec<StreamId>,
     leased: [bool; 2],
+    /// Member 1 takes member 0 for lost.
+    taken_for_lost: bool,
+    /// Words that say that calls are over do not arrive.
+    loses_over: bool,
 }
 
 fn name(member: usize) -> String {
@@ -26,13 +30,21 @@
     fn new() -> Self {
         let limits = Limits { copies: 1, needed: 1 };
         let member = |of: usize| Member::new(&name(of), "z1", BOOTS[of], limits);
-        let (authorities, settled) = (Vec::new(), Vec::new());
-        Pair { now: 1_000, members: [0, 1].map(member), authorities, settled, leased: [true, true] }
+        Pair {
+            now: 1_000,
+            members: [0, 1].map(member),
+            authorities: Vec::new(),
+            settled: Vec::new(),
+            leased: [true, true],
+            taken_for_lost: false,
+            loses_over: false,
+        }
     }
 
     fn known(&self, of: usize) -> Known {
         let other = 1 - of;
-        let others = vec![Other { name: name(other), zone: "z2".into(), boot: BOOTS[other], serves: true }];
+        let there = Other { name: name(other), zone: "z2".into(), boot: BOOTS[other], serves: true };
+        let others = if of == 1 && self.taken_for_lost { Vec::new() } else { vec![there] };
         let (authorities, settled) = (self.authorities.clone(), self.settled.clone());
         Known { leased: self.leased[of], others, authorities, settled }
     }
@@ -48,6 +60,9 @@
             }
             for from in [0, 1, 0, 1] {
                 for (to, word) in self.members[from].take_words() {
+                    if self.loses_over && matches!(word, Word::Over { .. }) {
+                        continue;
+                    }
                     let to = if to == name(0) { 0 } else { 1 };
                     self.members[to].received(self.now, &name(from), BOOTS[from], word);
                 }
@@ -94,8 +109,11 @@
         assert!(successor.contains(&News::Adopt(vec![(CALL, Record::Stands { server: 1 })])));
         assert!(woken.contains(&News::Renounce([CALL].into())));
         if ended_by_successor {
-            // The member that sleeps is not among the others that are told at once.
+            // The one that sleeps is not among the others that are told at once.
+            pair.taken_for_lost = true;
             pair.members[1].passed_on(pair.now, CALL);
+            pair.live(1);
+            pair.taken_for_lost = false;
         }
         pair.members[0].relinquish(pair.now, vec![CALL]);
         let [woken, successor] = pair.live(10);
@@ -138,6 +156,30 @@
     assert!(!relinquished(&news) && news.contains(&News::Over(vec![CALL])), "{news:?}");
 }
 
+/// Guards against a release that the member that wakes gives, and hands to its successor too.
+#[test]
+fn hands_over_no_release_that_it_gives_itself() {
+    for given_here in [false, true] {
+        let mut pair = Pair::with_established_call();
+        pair.leased[0] = false;
+        pair.live(1);
+        if given_here {
+            pair.members[0].passed_on(pair.now, CALL);
+        }
+        pair.members[0].note(CALL, Some(Record::Owed { server: 1, cause: 16 }));
+        pair.loses_over = true;
+        let [_, mut successor] = pair.succeed();
+        pair.loses_over = false;
+        successor.append(&mut pair.live(10)[1]);
+        let owed = (CALL, Some(Record::Owed { server: 1, cause: 16 }));
+        let is_handed = |news: &News| matches!(news, News::Handed(changes) if changes.contains(&owed));
+        assert_eq!(successor.iter().any(is_handed), !given_here, "{successor:?}");
+        assert_eq!(successor.contains(&News::Over(vec![CALL])), given_here, "{successor:?}");
+        let kept = pair.members[0].written().any(|writer| writer.records().contains_key(&CALL));
+        assert_eq!(kept, given_here, "whoever gives it keeps it until it is confirmed");
+    }
+}
+
 /// Guards against the answer to the question being taken for news of this member's own.
 #[test]
 fn says_nothing_of_calls_that_others_ended() {
--- a/core/src/promise.rs
+++ b/core/src/promise.rs
@@ -86,9 +86,10 @@
         self.promises.doubt.is_some_and(|from| since < from)
     }
 
-    /// Whether another call agent may tell the caller that this call is over: the one that had it before.
+    /// Whether another call agent may tell the caller that this call is over: the one that had it before, or
+    /// the one that may have taken it over.
     pub(super) fn is_shared(&self, standing: &Standing) -> bool {
-        standing.is_adopted()
+        standing.is_adopted() || self.is_doubted(standing.since())
     }
 
     /// All members are told that this call's release is given here, where promises are told.
@@ -198,7 +199,8 @@
             } else if let Some(standing) = self.relay.take_standing(*call) {
                 // Not known to be over: where its server says here that it is, that is passed on.
                 self.let_standing_go(now, *call, standing);
-            } else {
+            } else if self.promises.doubt.is_none_or(|from| self.relay.is_owed_since_before(*call, from)) {
+                // What came up since the doubt began all members were told of: it is given here.
                 self.relay.forget_owed(*call);
             }
         }
--- a/core/src/relay.rs
+++ b/core/src/relay.rs
@@ -41,6 +41,10 @@
         self.attempt.server
     }
 
+    pub fn since(&self) -> Micros {
+        self.since
+    }
+
     pub fn is_adopted(&self) -> bool {
         self.client.is_none()
     }
@@ -104,6 +108,11 @@
         self.standing.contains_key(&call) || self.owed.contains_key(&call)
     }
 
+    /// Whether a release came up before this moment.
+    pub fn is_owed_since_before(&self, call: CallId, moment: Micros) -> bool {
+        self.owed.get(&call).is_some_and(|owed| owed.since < moment)
+    }
+
     pub fn adopt(&mut self, call: CallId, standing: Standing) {
         self.standing.insert(call, standing);
     }
