Give a release of an unknown call only where its own member has not given it

Cause: a connection to a server was replaced while releases on it were not yet confirmed; the server said them again to another member, which took them for those of a lost one. Traced, call 652: n1 gives it at 20,199 ms and its caller confirms, n3 has it from the server at 20,613 ms and gives it at 20,661 ms.

Such a release is now promised, all members are told that it will be given, and it is given 0.4 s later unless its member says that it has told the caller.

Each new guard is missed by a test.

--- a/agent/src/fleet/copies.rs
+++ b/agent/src/fleet/copies.rs
@@ -63,6 +63,7 @@
                     self.member.replace(records.collect());
                 }
                 Some(Note::PassedOn(call)) => self.member.passed_on(now, call.0),
+                Some(Note::Given(call)) => self.member.given(now, call.0),
                 Some(Note::Relinquished(calls)) => {
                     self.member.relinquish(now, calls.into_iter().map(|call| call.0).collect());
                 }
--- a/agent/src/net/copies.rs
+++ b/agent/src/net/copies.rs
@@ -126,8 +126,13 @@
         let _ = self.end.notes.try_send(Note::PassedOn(call));
     }
 
-    /// The release of a call leaves. One that a successor may have taken over by now is not to be given there,
-    /// too, also where it was decided on before the doubt.
+    pub fn given(&mut self, call: CallId) {
+        // Lost where there is no room: its caller may be told twice then.
+        let _ = self.end.notes.try_send(Note::Given(call));
+    }
+
+    /// The release of a call leaves. A successor that may have the call by now is not to give it too, also where
+    /// it was decided on before the doubt.
     pub fn release_leaves(&mut self, call: CallId) {
         if self.doubts(call) {
             self.passed_on(call);
@@ -261,8 +266,8 @@
         (effects, heard)
     }
 
-    /// Answers that waited because of a doubt, whose callers' time is over and whom no successor can have told
-    /// anything: they are to get another one.
+    /// Answers that waited because of a doubt, whose callers' time is over and whom no successor can have
+    /// told anything: they are to get another one.
     pub fn given_up(&mut self, now: Micros) -> Vec<Effect> {
         let Some(doubt) = &self.doubt else { return Vec::new() };
         let late = |(call, waiting): (&CallId, &Waiting)| {
@@ -310,7 +315,7 @@
         (effects(in_time), effects(late))
     }
 
-    /// These calls were given up to a successor; `queued`: answers to some of them that had not come here yet.
+    /// These calls were given up to a successor; `queued`: answers to some that had not come here yet.
     pub fn renounced(&mut self, calls: &BTreeSet<CallId>, queued: Vec<Effect>) -> Unanswered {
         self.renounced += 1;
         let held = calls.iter().filter_map(|call| self.answers.remove(call)).map(|waiting| waiting.effect);
--- a/agent/src/net/owner.rs
+++ b/agent/src/net/owner.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
 
-use steprelay_copies::member::News;
+use steprelay_copies::member::{News, Precedence};
 use steprelay_core::duty::State;
 use steprelay_core::{Breach, ClientId, Core, Effect, LinkLoss, NotSent, Promise, Source, Verdict};
 use steprelay_decisions::{CallId, Entry, ListKind, Micros, Readiness, ServerId};
@@ -581,13 +581,23 @@
                     self.copies.as_mut().map(|copies| copies.relinquished(&calls)).unwrap_or_default();
                 self.give_up(now, answers);
             }
-            News::Over(calls) => {
+            News::Over(calls, precedence) => {
                 for call in calls.into_iter().map(copies::call) {
                     trace::replicated(call, "over, as another member says");
                     self.copies.iter_mut().for_each(|copies| copies.over_elsewhere(call));
+                    if precedence == Precedence::Theirs {
+                        self.core.yield_unclaimed(call);
+                    }
                     self.core.over_elsewhere(now, call);
                 }
             }
+            News::Given(calls) => {
+                for call in calls.into_iter().map(copies::call) {
+                    trace::replicated(call, "over, as the member that told its caller says");
+                    self.copies.iter_mut().for_each(|copies| copies.over_elsewhere(call));
+                    self.core.given_elsewhere(now, call);
+                }
+            }
             News::Short(short) => {
                 let refuse = self.copies.as_mut().is_some_and(|copies| copies.short(short));
                 self.core.refuse_uncopied(refuse);
@@ -677,6 +687,11 @@
                     copies.passed_on(call);
                 }
             }
+            Effect::Given { call } => {
+                if let Some(copies) = &mut self.copies {
+                    copies.given(call);
+                }
+            }
         }
     }
 
--- a/agent/src/ports/copies.rs
+++ b/agent/src/ports/copies.rs
@@ -17,6 +17,8 @@
     All(Vec<(CallId, Promise)>),
     /// A release of a call that was not known here was given.
     PassedOn(CallId),
+    /// The caller of a call that another member is about to see to was told here that it is over.
+    Given(CallId),
     /// Of calls that were given up to a successor: their callers were told nothing, and are to be told here
     /// that they failed, unless the successor has ended them.
     Relinquished(Vec<CallId>),
--- a/copies/src/member.rs
+++ b/copies/src/member.rs
@@ -28,6 +28,8 @@
 /// Calls of one such word, and words of that kind at once.
 const MOST_CALLS: usize = 512;
 const MOST_TELLINGS: usize = 256;
+/// The number of a word that answers another and is not confirmed itself.
+const ANSWER: u64 = 0;
 /// A stream that is over is put into the log so often until it is there.
 const SETTLE: Millis = 1_000;
 
@@ -71,14 +73,23 @@
     Handed(Vec<Change>),
     /// Another keeps what was promised of these calls.
     Renounce(BTreeSet<Call>),
-    /// Others have seen to the end of these calls.
-    Over(Vec<Call>),
+    /// Others have seen to the end of these calls, or are about to.
+    Over(Vec<Call>, Precedence),
+    /// Others have told the callers of these calls that they are over.
+    Given(Vec<Call>),
     /// Of calls that were relinquished: the successor has told their callers nothing, and never will.
     Relinquished(Vec<Call>),
     /// Whether too few others can take copies.
     Short(bool),
 }
 
+/// Which of two members gives a release that both are about to give.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Precedence {
+    Ours,
+    Theirs,
+}
+
 /// Figures of one moment.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Figures {
@@ -162,6 +173,8 @@
     successor: Option<Successor>,
     settling: BTreeMap<StreamId, Millis>,
     settled: Vec<StreamId>,
+    /// Members that were alive at the last tick.
+    others: Vec<String>,
     short: bool,
     count: u64,
     figures: Figures,
@@ -196,6 +209,7 @@
             successor: None,
             settling: BTreeMap::new(),
             settled: Vec::new(),
+            others: Vec::new(),
             short: limits.needed > 0,
             count: 0,
             figures: Figures::default(),
@@ -290,6 +304,16 @@
         }
     }
 
+    /// The process has told the caller of a call that it is over, which another member is about to do: it is
+    /// told so once, since it waits for that for less time than a second word would take.
+    pub fn given(&mut self, now: Millis, call: Call) {
+        self.remember(call, Ended { at: now, here: true });
+        for to in &self.others {
+            let word = Word::Over { count: ANSWER, calls: vec![call] };
+            self.words.push((to.clone(), word));
+        }
+    }
+
     /// Calls that were given up to the successor of this member's own stream, and whose callers were told
     /// nothing here: the successor is asked to drop them, and says which of them it has ended.
     pub fn relinquish(&mut self, now: Millis, calls: Vec<Call>) {
@@ -339,10 +363,17 @@
                 self.at_writers(now, from, boot, &word);
                 self.takeovers.values_mut().for_each(|takeover| takeover.received(from, word.clone()));
             }
+            Word::Over { count: ANSWER, calls } => {
+                let ended = Ended { at: now, here: false };
+                calls.iter().for_each(|call| self.remember(*call, ended));
+                self.news.push_back(News::Given(calls));
+            }
             Word::Over { count, calls } => {
                 let ended = Ended { at: now, here: false };
                 calls.iter().for_each(|call| self.remember(*call, ended));
-                self.news.push_back(News::Over(calls));
+                let precedence =
+                    if from < self.name.as_str() { Precedence::Theirs } else { Precedence::Ours };
+                self.news.push_back(News::Over(calls, precedence));
                 self.words.push((from.into(), Word::OverHeard { count }));
             }
             Word::OverHeard { count } => {
@@ -383,7 +414,7 @@
         let dropped = changes.iter().filter(|(_, record)| record.is_none()).map(|(call, _)| *call);
         let calls: Vec<Call> = dropped.filter(|call| self.ended_here(*call)).collect();
         if !calls.is_empty() {
-            self.words.push((from.into(), Word::Over { count: 0, calls }));
+            self.words.push((from.into(), Word::Over { count: ANSWER, calls }));
         }
         let calls = changes.into_iter().filter(|(call, _)| !self.overs.contains_key(call));
         self.news.push_back(News::Handed(calls.collect()));
@@ -430,6 +461,7 @@
     /// Time has passed, and the fleet is so.
     pub fn tick(&mut self, now: Millis, known: &Known) {
         self.settled.clone_from(&known.settled);
+        self.others = known.others.iter().map(|other| other.name.clone()).collect();
         for stream in &known.settled {
             self.holder.over(*stream);
             self.settling.remove(stream);
@@ -650,7 +682,7 @@
             std::mem::take(&mut self.handings).into_iter().partition(|handing| now < handing.until);
         self.handings = open;
         for handing in late.into_iter().filter(|handing| handing.relinquished) {
-            self.news.push_back(News::Over(handing.changes.into_iter().map(|(call, _)| call).collect()));
+            self.news.push_back(News::Given(handing.changes.into_iter().map(|(call, _)| call).collect()));
         }
     }
 
--- a/core/src/book.rs
+++ b/core/src/book.rs
@@ -88,6 +88,8 @@
     Answered,
     /// Its connection went before an answer: the same set-up may come again on another one.
     Unheard,
+    /// Another member has told its caller, or is about to.
+    Elsewhere,
 }
 
 #[derive(Default)]
@@ -130,6 +132,13 @@
         self.over.insert(call, over);
     }
 
+    /// Another member sees to it, unless its caller was told here.
+    pub fn note_unknown_over_elsewhere(&mut self, call: CallId) {
+        if self.over(call) != Some(Over::Answered) {
+            self.note_over(call, Over::Elsewhere);
+        }
+    }
+
     pub fn sent(&mut self, server: ServerId) {
         self.servers.entry(server).or_default().attempts += 1;
     }
@@ -167,7 +176,7 @@
 
     /// A final answer was given to a call that does not stand.
     pub fn verdict(&mut self, call: CallId, class: Option<usize>, verdict: Verdict) {
-        if self.over(call) == Some(Over::Answered) {
+        if matches!(self.over(call), Some(Over::Answered | Over::Elsewhere)) {
             self.breach(Breach::AnsweredTwice);
         }
         match verdict {
--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -17,6 +17,7 @@
 mod take_in;
 #[cfg(test)]
 mod tests;
+mod unclaimed;
 
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet, BinaryHeap, VecDeque};
@@ -39,6 +40,7 @@
 use route::Route;
 pub use send::NotSent;
 use send::Pending;
+use unclaimed::UnclaimedReleases;
 
 /// A list of servers is kept for each place that names them, so that a whole list replaces only its own.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -139,6 +141,10 @@
     PassedOn {
         call: CallId,
     },
+    /// The caller of a call, which another member is about to see to, was told here that it is over.
+    Given {
+        call: CallId,
+    },
     Log(String),
 }
 
@@ -193,6 +199,8 @@
     Deadline(CallId),
     /// A release that is not confirmed is looked at again.
     Owed(CallId),
+    /// No member has claimed this release in time.
+    Unclaimed(CallId),
     /// Connections that only hold a place are looked for.
     Sweep,
     /// Clients are sent away.
@@ -211,6 +219,7 @@
     book: Book,
     duty: Duty,
     promises: Promises,
+    unclaimed: UnclaimedReleases,
     /// A look for quiet connections is due.
     letting_go: bool,
     wakes: BinaryHeap<Reverse<(Micros, Wake)>>,
@@ -232,6 +241,7 @@
             book: Book::new(site_classes),
             duty: Duty::default(),
             promises: Promises::default(),
+            unclaimed: UnclaimedReleases::default(),
             letting_go: false,
             wakes: BinaryHeap::from([Reverse((now + SWEEP, Wake::Sweep))]),
             actions: VecDeque::new(),
@@ -282,6 +292,7 @@
                 Wake::Stop(call, attempt) => self.attempt_timed_out(now, call, attempt),
                 Wake::Deadline(call) => self.deadline_passed(now, call),
                 Wake::Owed(call) => self.release_due(now, call),
+                Wake::Unclaimed(call) => self.release_unclaimed(now, call),
                 Wake::Sweep => {
                     for client in self.clients.useless(now) {
                         self.let_go(client);
--- a/core/src/promise.rs
+++ b/core/src/promise.rs
@@ -52,6 +52,10 @@
         self.promises.short
     }
 
+    pub(super) fn promises_are_told(&self) -> bool {
+        self.promises.told
+    }
+
     /// The promise of a call is another one, or over. `by`: when its caller must have heard of it, where that
     /// follows from it.
     pub(super) fn promise(&mut self, call: CallId, promise: Option<Promise>, by: Option<Micros>) {
@@ -66,7 +70,8 @@
             .pending
             .iter()
             .filter_map(|(call, pending)| Some((*call, Promise::Out(pending.out?.server))));
-        out.chain(self.relay.promised()).filter(|(call, _)| BoundCall::of(*call).is_none())
+        let released = self.relay.promised().chain(self.unclaimed.promised());
+        out.chain(released).filter(|(call, _)| BoundCall::of(*call).is_none())
     }
 
     /// It is not known from now on, or known again, whether another has taken over what was promised before.
@@ -136,7 +141,7 @@
     /// What one that was succeeded by this call agent knows beyond what was copied in time.
     pub fn handed(&mut self, now: Micros, call: CallId, promise: Option<Promise>) {
         match promise {
-            None | Some(Promise::Out(_)) => self.over_elsewhere(now, call),
+            None | Some(Promise::Out(_)) => self.drop_call(now, call),
             Some(Promise::Owed(server, cause)) => {
                 let stood = self.relay.take_standing(call);
                 if let Some(standing) = stood {
@@ -173,15 +178,15 @@
         self.effects.extract_if(.., is_answer).collect()
     }
 
-    /// Another call agent has seen to the end of this call.
-    pub fn over_elsewhere(&mut self, now: Micros, call: CallId) {
+    /// A call that is no longer this call agent's, and whose end is another's to tell.
+    pub(super) fn drop_call(&mut self, now: Micros, call: CallId) {
         if let Some(standing) = self.relay.take_standing(call) {
             self.call_over(now, call, standing, Outcome::Ok, Report::default());
-            self.promise(call, None, None);
-        } else if self.relay.forget_untaken(call) {
-            self.promise(call, None, None);
+        } else if !self.relay.forget_untaken(call) {
+            return self.book.note_unknown_over_elsewhere(call);
         }
-        self.book.note_over(call, Over::Answered);
+        self.promise(call, None, None);
+        self.book.note_over(call, Over::Elsewhere);
     }
 
     /// Another call agent has taken these calls over: nothing more is said of them, but for set-ups that have
@@ -202,17 +207,22 @@
             } else if self.promises.doubt.is_none_or(|from| self.relay.is_owed_since_before(*call, from)) {
                 // What came up since the doubt began all members were told of: it is given here.
                 self.relay.forget_owed(*call);
+                self.unclaimed.forget(*call);
             }
         }
         self.promises.told = told;
     }
 
     fn is_known(&self, call: CallId) -> bool {
-        self.pending.contains_key(&call) || self.relay.is_known(call) || self.book.over(call).is_some()
+        self.pending.contains_key(&call)
+            || self.relay.is_known(call)
+            || self.unclaimed.contains(call)
+            || self.book.over(call).is_some()
     }
 
     fn promise_of(&self, call: CallId) -> Option<Promise> {
         let out = self.pending.get(&call).and_then(|pending| pending.out);
-        out.map(|attempt| Promise::Out(attempt.server)).or_else(|| self.relay.promise_of(call))
+        let out = out.map(|attempt| Promise::Out(attempt.server));
+        out.or_else(|| self.relay.promise_of(call)).or_else(|| self.unclaimed.promise_of(call))
     }
 }
--- a/core/src/relay.rs
+++ b/core/src/relay.rs
@@ -113,6 +113,11 @@
         self.owed.get(&call).is_some_and(|owed| owed.since < moment)
     }
 
+    /// Whether a caller was given the release.
+    pub fn has_given(&self, call: CallId) -> bool {
+        self.owed.get(&call).is_some_and(|owed| !owed.given.is_empty())
+    }
+
     pub fn adopt(&mut self, call: CallId, standing: Standing) {
         self.standing.insert(call, standing);
     }
@@ -276,7 +281,10 @@
             self.book.counts.released_unknown += 1;
             self.book.note_over(call, Over::Answered);
             let client = BoundCall::of(call).map(BoundCall::client_id);
-            self.pass_on_to_members(call);
+            if client.is_none() && self.promises_are_told() {
+                self.pass_on_to_members(call);
+                return self.hold_unclaimed(now, server, call, cause);
+            }
             self.release_to(now, client, server, call, cause);
         }
     }
--- /dev/null
+++ b/core/src/tests/unclaimed.rs
@@ -0,0 +1,100 @@
+use super::*;
+
+const RELEASE: ReleaseCause = ReleaseCause::NORMAL;
+/// A release reaches its caller within this of its server's word.
+const RELEASED_WITHIN: Micros = 1_000 * MS;
+
+fn told(effects: &[(Micros, Effect)]) -> usize {
+    effects.iter().filter(|(_, effect)| *effect == released(5, RELEASE)[0]).count()
+}
+
+/// A member with a caller that takes releases, and no call of its own.
+fn other_member() -> Stand {
+    let mut stand = with_promises();
+    stand.core.client_tested(stand.now, CALLER);
+    stand.offer(9, RELEASED_WITHIN);
+    stand
+}
+
+/// Guards against a caller that is told twice, by two members that a server told of one release.
+#[test]
+fn gives_release_of_unknown_call_unless_its_member_has_given_it() {
+    type Hears = fn(&mut Stand);
+    let cases: [(&str, Hears, usize); 4] = [
+        ("nobody claims it", |_| {}, 1),
+        ("another was told of it too, and yields", |stand| stand.core.over_elsewhere(stand.now, CALL), 1),
+        (
+            "another was told of it too, and gives it",
+            |stand| {
+                stand.core.yield_unclaimed(CALL);
+                stand.core.over_elsewhere(stand.now, CALL);
+            },
+            0,
+        ),
+        ("its member has given it", |stand| stand.core.given_elsewhere(stand.now, CALL), 0),
+    ];
+    for (case, hears, times) in cases {
+        let mut stand = other_member();
+        let ended = stand.end(ONE, 5, RELEASE);
+        assert!(ended.contains(&Effect::PassedOn { call: CALL }), "{case}: its member is asked");
+        assert_eq!(promised(&ended), [Some(Promise::Owed(ONE, RELEASE))], "{case}: it is lost with nobody");
+        assert!(stand.core.promised().any(|(call, _)| call == CALL), "{case}");
+        assert!(stand.end(ONE, 5, RELEASE).is_empty(), "{case}: its server says it again");
+        hears(&mut stand);
+        let passed = stand.pass(RELEASED_WITHIN);
+        let first = passed.iter().position(|(_, effect)| *effect == released(5, RELEASE)[0]);
+        assert_eq!(first.map_or(0, |_| 1), times, "{case}: {passed:?}");
+        assert_eq!(told(&passed), times, "{case}: {passed:?}");
+        assert_eq!(stand.breaches(), 0, "{case}");
+    }
+}
+
+/// Guards against the other half: the member that has the call says so, or leaves it to the one that asks.
+#[test]
+fn claims_a_call_whose_caller_it_tells_and_drops_one_that_it_has_not_told() {
+    type Comes = fn(&mut Stand);
+    let cases: [(&str, Comes, bool); 5] = [
+        ("its answer is awaited", |_| {}, true),
+        ("it is established", |stand| drop(stand.answer(ONE, 5)), false),
+        (
+            "its release was given",
+            |stand| {
+                stand.answer(ONE, 5);
+                stand.end(ONE, 5, RELEASE);
+            },
+            true,
+        ),
+        (
+            "its release was confirmed",
+            |stand| {
+                stand.answer(ONE, 5);
+                stand.end(ONE, 5, RELEASE);
+                stand.core.release_heard(stand.now, CALLER, CALL);
+            },
+            true,
+        ),
+        ("it was refused", |stand| drop(stand.pass(RELEASED_WITHIN)), true),
+    ];
+    for (case, comes, claims) in cases {
+        let mut stand = with_promises();
+        stand.offer(5, RELEASED_WITHIN);
+        comes(&mut stand);
+        stand.core.take_effects();
+        stand.core.over_elsewhere(stand.now, CALL);
+        let said = stand.core.take_effects();
+        assert_eq!(said.contains(&Effect::Given { call: CALL }), claims, "{case}: {said:?}");
+        // It is asked until it has confirmed that it was.
+        stand.core.over_elsewhere(stand.now, CALL);
+        assert_eq!(
+            stand.core.take_effects().contains(&Effect::Given { call: CALL }),
+            claims,
+            "{case}, again"
+        );
+        if !claims {
+            let late = stand.end(ONE, 5, RELEASE);
+            assert!(!late.contains(&released(5, RELEASE)[0]), "{case}: the other one gives it");
+            assert_eq!(stand.core.standing(), 0, "{case}");
+        }
+        assert_eq!(stand.breaches(), 0, "{case}");
+    }
+}
--- /dev/null
+++ b/core/src/unclaimed.rs
@@ -0,0 +1,101 @@
+//! Releases of calls that are not known here, where promises are told to other members.
+//!
+//! A server says a release again on the next open connection, whoever's it is, when the connection that took
+//! it ends unconfirmed. The call may be another member's, who has given the release or is about to. So all
+//! members are told first that it will be given here: one that has the call drops it, and one that has told
+//! its caller already says so. Nobody says anything: the release is given. Where
+//! two members were told of it, the one whose name comes first gives it.
+
+use std::cmp::Reverse;
+use std::collections::BTreeMap;
+
+use steprelay_decisions::{CallId, Micros, ServerId};
+
+use super::book::Over;
+use super::{Core, Effect, Promise, ReleaseCause, Wake};
+
+/// Members get this long to say that they have given a release. It leaves over half of the second in which a
+/// caller is to have it.
+const CLAIM_WITHIN: Micros = 400_000;
+
+#[derive(Clone, Copy, Debug)]
+struct Unclaimed {
+    server: ServerId,
+    cause: ReleaseCause,
+}
+
+#[derive(Default)]
+pub(super) struct UnclaimedReleases(BTreeMap<CallId, Unclaimed>);
+
+impl UnclaimedReleases {
+    pub fn contains(&self, call: CallId) -> bool {
+        self.0.contains_key(&call)
+    }
+
+    pub fn forget(&mut self, call: CallId) -> bool {
+        self.0.remove(&call).is_some()
+    }
+
+    pub fn promise_of(&self, call: CallId) -> Option<Promise> {
+        self.0.get(&call).map(|release| Promise::Owed(release.server, release.cause))
+    }
+
+    pub fn promised(&self) -> impl Iterator<Item = (CallId, Promise)> + '_ {
+        self.0.iter().map(|(call, release)| (*call, Promise::Owed(release.server, release.cause)))
+    }
+}
+
+impl Core {
+    /// Holds a release until its time for claims is over.
+    pub(super) fn hold_unclaimed(
+        &mut self,
+        now: Micros,
+        server: ServerId,
+        call: CallId,
+        cause: ReleaseCause,
+    ) {
+        self.promise(call, Some(Promise::Owed(server, cause)), None);
+        self.unclaimed.0.insert(call, Unclaimed { server, cause });
+        self.wakes.push(Reverse((now + CLAIM_WITHIN, Wake::Unclaimed(call))));
+    }
+
+    /// Nobody has claimed it.
+    pub(super) fn release_unclaimed(&mut self, now: Micros, call: CallId) {
+        if let Some(Unclaimed { server, cause }) = self.unclaimed.0.remove(&call) {
+            self.release_to(now, None, server, call, cause);
+        }
+    }
+
+    /// Another member sees to the end of this call, or has. It is told so where its caller hears of it here.
+    pub fn over_elsewhere(&mut self, now: Micros, call: CallId) {
+        if self.unclaimed.contains(call) {
+            // It was told of the same release, and yields.
+            return;
+        }
+        let is_told_here = self.pending.contains_key(&call)
+            || self.relay.has_given(call)
+            || self.book.over(call) == Some(Over::Answered);
+        if !is_told_here {
+            return self.drop_call(now, call);
+        }
+        if self.promises_are_told() {
+            self.effects.push(Effect::Given { call });
+        }
+    }
+
+    /// Another member was told of the same release, and it is that one which gives it.
+    pub fn yield_unclaimed(&mut self, call: CallId) {
+        if self.unclaimed.forget(call) {
+            self.promise(call, None, None);
+            self.book.note_over(call, Over::Elsewhere);
+        }
+    }
+
+    /// Another member has told the caller of this call that it is over.
+    pub fn given_elsewhere(&mut self, now: Micros, call: CallId) {
+        self.yield_unclaimed(call);
+        if !self.pending.contains_key(&call) {
+            self.drop_call(now, call);
+        }
+    }
+}
