--- a/agent/src/net/copies.rs
+++ b/agent/src/net/copies.rs
@@ -131,8 +131,8 @@
         let _ = self.end.notes.try_send(Note::Given(call));
     }
 
-    /// The release of a call leaves. A successor that may have the call by now is not to give it too, also where
-    /// it was decided on before the doubt.
+    /// The release of a call leaves. A successor that may have the call by now is not to give it too, also
+    /// where it was decided on before the doubt.
     pub fn release_leaves(&mut self, call: CallId) {
         if self.doubts(call) {
             self.passed_on(call);
--- a/agent/tests/platform.rs
+++ b/agent/tests/platform.rs
@@ -674,7 +674,10 @@
             good.say(end(call, 16));
         }
     });
-    while figure(ops, "concurrent") > 0 {}
+    let until = Instant::now() + Duration::from_secs(20);
+    while figure(ops, "concurrent") > 0 {
+        assert!(Instant::now() < until, "calls of callers that have gone are left");
+    }
     assert!(agent.descriptors() < 40, "{} are open", agent.descriptors());
 }
 
