Drop a deferred set-up before its giving up is carried out

A set-up that waited for its caller was forgotten ahead of its giving up, so that the server was told of the end of a call that it had never heard of. Effects go first now. Its guard was missed by no test; the test looks at all messages now and fails without it.

--- a/agent/src/net/owner.rs
+++ b/agent/src/net/owner.rs
@@ -434,7 +434,16 @@
     }
 
     fn carry_out(&mut self) {
+        self.do_all();
+        // Behind what takes them back.
         self.send_deferred();
+        self.do_all();
+        if let Some(copies) = &mut self.copies {
+            copies.number_releases();
+        }
+    }
+
+    fn do_all(&mut self) {
         loop {
             let effects = self.core.take_effects();
             if effects.is_empty() {
@@ -444,9 +453,6 @@
                 self.do_one(effect);
             }
         }
-        if let Some(copies) = &mut self.copies {
-            copies.number_releases();
-        }
     }
 
     // ---- Copies.
--- a/agent/src/net/owner/tests/settle.rs
+++ b/agent/src/net/owner/tests/settle.rs
@@ -76,7 +76,11 @@
         settle_beside(&mut owner, flood);
         assert_eq!(sent(&mut owner, &mut to_server), [CallId(9)]);
         owner.take(leaves());
-        assert!(sent(&mut owner, &mut to_server).is_empty());
+        owner.carry_out();
+        let given_up = |message: &ToServer| matches!(message, ToServer::GiveUp(CallId(8)));
+        let of_call = |message: &ToServer| given_up(message) || message.set_up() == Some(CallId(8));
+        let left: Vec<ToServer> = std::iter::from_fn(|| to_server.next_now()).filter(of_call).collect();
+        assert!(left.is_empty(), "{left:?}");
         assert!(owner.deferred.is_empty());
     }
 }
