--- a/agent/src/net/owner.rs
+++ b/agent/src/net/owner.rs
@@ -1,23 +1,22 @@
 //! The owner of the core: hands it what comes in and carries out what follows.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 use std::rc::Rc;
 
-use steprelay_copies::member::{News, Precedence};
 use steprelay_core::duty::State;
-use steprelay_core::{Breach, ClientId, Core, Effect, LinkLoss, NotSent, Promise, SetUp, Source, Verdict};
+use steprelay_core::{Breach, ClientId, Core, Effect, LinkLoss, NotSent, SetUp, Source};
 use steprelay_decisions::{CallId, Entry, ListKind, Micros, Readiness, ServerId};
 use tokio::sync::mpsc;
 use tokio::time::{sleep, sleep_until, Duration};
 
+mod replication;
 mod settle;
 
 use settle::Deferred;
 
-use super::copies::{Copies, CopiesEnd, Doubt};
+use super::copies::{Copies, CopiesEnd};
 use super::links::{Links, Watch};
 use crate::ports::conn::Outbox;
-use crate::ports::copies;
 use crate::ports::dispatch::Dispatch;
 use crate::ports::{Input, LinkId, OnDuty, Shared, Snapshot, ToClient, ToServer, Way};
 use crate::trace;
@@ -455,137 +454,6 @@
         }
     }
 
-    // ---- Copies.
-
-    /// Finds out before the next word whether another may have taken over.
-    fn look_at_doubt(&mut self, now: Micros) {
-        let Some(copies) = &mut self.copies else { return };
-        match (copies.in_doubt(), copies.was_in_doubt()) {
-            (true, false) => {
-                let mut doubt = Doubt::default();
-                for (call, promise) in self.core.promised() {
-                    let calls = match promise {
-                        Promise::Out(_) => &mut doubt.out,
-                        Promise::Stands(_) | Promise::Owed(..) => &mut doubt.answered,
-                    };
-                    calls.insert(call);
-                }
-                copies.doubt_begins(doubt);
-                self.core.doubt(now, true);
-            }
-            (false, true) => {
-                let (in_time, late) = copies.doubt_ends(now);
-                self.core.doubt(now, false);
-                in_time.into_iter().for_each(|effect| self.say(now, effect));
-                self.give_up(now, late);
-            }
-            _ => {}
-        }
-    }
-
-    /// Lets out what others hold by now, and what can wait no longer.
-    fn look_at_copies(&mut self) {
-        let now = self.shared.clock.now();
-        self.look_at_doubt(now);
-        let Some(copies) = &mut self.copies else { return };
-        if copies.is_behind() {
-            copies.all(self.core.promised().collect());
-        }
-        let given_up = copies.given_up(now);
-        let (effects, heard) = copies.due(now);
-        self.give_up(now, given_up);
-        effects.into_iter().for_each(|effect| self.say(now, effect));
-        for (link, call) in heard {
-            if self.links.is_current(link) {
-                let _ = self.links.post(link.server, ToServer::Heard(call), now);
-            }
-        }
-    }
-
-    /// Answers that never went out, and never will.
-    fn give_up(&mut self, now: Micros, answers: Vec<Effect>) {
-        for effect in answers {
-            if let Effect::Answer { client, call, .. } = effect {
-                self.say(now, Effect::Final { client, call, verdict: Verdict::Failed });
-                self.core.withdraw_answer(now, call);
-            }
-        }
-    }
-
-    /// A successor has taken these calls over. Whose caller was told nothing yet hears that it failed: at
-    /// once, or when the successor has said that it told it nothing either.
-    fn renounce(&mut self, now: Micros, calls: &BTreeSet<CallId>) {
-        let queued = self.core.take_answers(calls);
-        let Some(copies) = &mut self.copies else { return };
-        let unanswered = copies.renounced(calls, queued);
-        for call in unanswered.ask {
-            trace::replicated(call, "is not answered until its successor says whether it was ended");
-            self.core.withdraw_answer(now, call);
-        }
-        for effect in &unanswered.fail {
-            if let (Effect::Answer { call, .. }, Some(copies)) = (effect, &mut self.copies) {
-                // What was noted of it last is handed over, too.
-                copies.passed_on(*call);
-            }
-        }
-        self.give_up(now, unanswered.fail);
-        self.core.renounce(now, calls);
-    }
-
-    fn heard_of_copies(&mut self, now: Micros, news: News) {
-        match news {
-            News::Covered(covered) => {
-                if let Some(copies) = &mut self.copies {
-                    copies.covered(covered);
-                }
-            }
-            News::Adopt(records) => {
-                for (call, record) in records {
-                    trace::replicated(copies::call(call), format_args!("adopted as {record:?}"));
-                    self.core.adopt(now, copies::call(call), copies::promise(record));
-                }
-            }
-            News::Handed(changes) => {
-                for (call, record) in changes {
-                    trace::replicated(copies::call(call), format_args!("handed over as {record:?}"));
-                    self.core.handed(now, copies::call(call), record.map(copies::promise));
-                }
-            }
-            News::Renounce(calls) => {
-                let calls: BTreeSet<CallId> = calls.into_iter().map(copies::call).collect();
-                calls.iter().for_each(|call| trace::replicated(*call, "given up to a successor"));
-                self.renounce(now, &calls);
-            }
-            News::Relinquished(calls) => {
-                let calls: Vec<CallId> = calls.into_iter().map(copies::call).collect();
-                let answers =
-                    self.copies.as_mut().map(|copies| copies.relinquished(&calls)).unwrap_or_default();
-                self.give_up(now, answers);
-            }
-            News::Over(calls, precedence) => {
-                for call in calls.into_iter().map(copies::call) {
-                    trace::replicated(call, "over, as another member says");
-                    self.copies.iter_mut().for_each(|copies| copies.over_elsewhere(call));
-                    if precedence == Precedence::Theirs {
-                        self.core.yield_unclaimed(call);
-                    }
-                    self.core.over_elsewhere(now, call);
-                }
-            }
-            News::Given(calls) => {
-                for call in calls.into_iter().map(copies::call) {
-                    trace::replicated(call, "over, as the member that told its caller says");
-                    self.copies.iter_mut().for_each(|copies| copies.over_elsewhere(call));
-                    self.core.given_elsewhere(now, call);
-                }
-            }
-            News::Short(short) => {
-                let refuse = self.copies.as_mut().is_some_and(|copies| copies.short(short));
-                self.core.refuse_uncopied(refuse);
-            }
-        }
-    }
-
     fn do_one(&mut self, effect: Effect) {
         let now = self.shared.clock.now();
         trace::goes(&self.core, now, &effect);
--- /dev/null
+++ b/agent/src/net/owner/replication.rs
@@ -0,0 +1,145 @@
+//! The owner's part in replication: what it says once others hold copies, what it keeps back while another
+//! member may have taken its calls over, and what it does about calls that change hands.
+
+use std::collections::BTreeSet;
+
+use steprelay_copies::member::{News, Precedence};
+use steprelay_core::{Effect, Promise, Verdict};
+use steprelay_decisions::{CallId, Micros};
+
+use super::Owner;
+use crate::net::copies::Doubt;
+use crate::ports::copies;
+use crate::ports::ToServer;
+use crate::trace;
+
+impl Owner {
+    /// Finds out before the next word whether another may have taken over.
+    pub(super) fn look_at_doubt(&mut self, now: Micros) {
+        let Some(copies) = &mut self.copies else { return };
+        match (copies.in_doubt(), copies.was_in_doubt()) {
+            (true, false) => {
+                let mut doubt = Doubt::default();
+                for (call, promise) in self.core.promised() {
+                    let calls = match promise {
+                        Promise::Out(_) => &mut doubt.out,
+                        Promise::Stands(_) | Promise::Owed(..) => &mut doubt.answered,
+                    };
+                    calls.insert(call);
+                }
+                copies.doubt_begins(doubt);
+                self.core.doubt(now, true);
+            }
+            (false, true) => {
+                let (in_time, late) = copies.doubt_ends(now);
+                self.core.doubt(now, false);
+                in_time.into_iter().for_each(|effect| self.say(now, effect));
+                self.give_up(now, late);
+            }
+            _ => {}
+        }
+    }
+
+    /// Lets out what others hold by now, and what can wait no longer.
+    pub(super) fn look_at_copies(&mut self) {
+        let now = self.shared.clock.now();
+        self.look_at_doubt(now);
+        let Some(copies) = &mut self.copies else { return };
+        if copies.is_behind() {
+            copies.all(self.core.promised().collect());
+        }
+        let given_up = copies.given_up(now);
+        let (effects, heard) = copies.due(now);
+        self.give_up(now, given_up);
+        effects.into_iter().for_each(|effect| self.say(now, effect));
+        for (link, call) in heard {
+            if self.links.is_current(link) {
+                let _ = self.links.post(link.server, ToServer::Heard(call), now);
+            }
+        }
+    }
+
+    /// Answers that never went out, and never will.
+    pub(super) fn give_up(&mut self, now: Micros, answers: Vec<Effect>) {
+        for effect in answers {
+            if let Effect::Answer { client, call, .. } = effect {
+                self.say(now, Effect::Final { client, call, verdict: Verdict::Failed });
+                self.core.withdraw_answer(now, call);
+            }
+        }
+    }
+
+    /// A successor has taken these calls over. Whose caller was told nothing yet hears that it failed: at
+    /// once, or when the successor has said that it told it nothing either.
+    pub(super) fn renounce(&mut self, now: Micros, calls: &BTreeSet<CallId>) {
+        let queued = self.core.take_answers(calls);
+        let Some(copies) = &mut self.copies else { return };
+        let unanswered = copies.renounced(calls, queued);
+        for call in unanswered.ask {
+            trace::replicated(call, "is not answered until its successor says whether it was ended");
+            self.core.withdraw_answer(now, call);
+        }
+        for effect in &unanswered.fail {
+            if let (Effect::Answer { call, .. }, Some(copies)) = (effect, &mut self.copies) {
+                // What was noted of it last is handed over, too.
+                copies.passed_on(*call);
+            }
+        }
+        self.give_up(now, unanswered.fail);
+        self.core.renounce(now, calls);
+    }
+
+    pub(super) fn heard_of_copies(&mut self, now: Micros, news: News) {
+        match news {
+            News::Covered(covered) => {
+                if let Some(copies) = &mut self.copies {
+                    copies.covered(covered);
+                }
+            }
+            News::Adopt(records) => {
+                for (call, record) in records {
+                    trace::replicated(copies::call(call), format_args!("adopted as {record:?}"));
+                    self.core.adopt(now, copies::call(call), copies::promise(record));
+                }
+            }
+            News::Handed(changes) => {
+                for (call, record) in changes {
+                    trace::replicated(copies::call(call), format_args!("handed over as {record:?}"));
+                    self.core.handed(now, copies::call(call), record.map(copies::promise));
+                }
+            }
+            News::Renounce(calls) => {
+                let calls: BTreeSet<CallId> = calls.into_iter().map(copies::call).collect();
+                calls.iter().for_each(|call| trace::replicated(*call, "given up to a successor"));
+                self.renounce(now, &calls);
+            }
+            News::Relinquished(calls) => {
+                let calls: Vec<CallId> = calls.into_iter().map(copies::call).collect();
+                let answers =
+                    self.copies.as_mut().map(|copies| copies.relinquished(&calls)).unwrap_or_default();
+                self.give_up(now, answers);
+            }
+            News::Over(calls, precedence) => {
+                for call in calls.into_iter().map(copies::call) {
+                    trace::replicated(call, "over, as another member says");
+                    self.copies.iter_mut().for_each(|copies| copies.over_elsewhere(call));
+                    if precedence == Precedence::Theirs {
+                        self.core.yield_unclaimed(call);
+                    }
+                    self.core.over_elsewhere(now, call);
+                }
+            }
+            News::Given(calls) => {
+                for call in calls.into_iter().map(copies::call) {
+                    trace::replicated(call, "over, as the member that told its caller says");
+                    self.copies.iter_mut().for_each(|copies| copies.over_elsewhere(call));
+                    self.core.given_elsewhere(now, call);
+                }
+            }
+            News::Short(short) => {
+                let refuse = self.copies.as_mut().is_some_and(|copies| copies.short(short));
+                self.core.refuse_uncopied(refuse);
+            }
+        }
+    }
+}
--- a/agent/src/net/owner/tests.rs
+++ b/agent/src/net/owner/tests.rs
@@ -3,9 +3,11 @@
 use super::*;
 use crate::ports::clock::Clock;
 use crate::ports::conn::{self, Inbox, Weight};
+use crate::ports::copies;
 use crate::ports::copies::Lease;
 use std::sync::Arc;
-use steprelay_core::{Bounds, ReleaseCause, Request};
+use steprelay_copies::member::News;
+use steprelay_core::{Bounds, ReleaseCause, Request, Verdict};
 use steprelay_decisions::{Cause, Report, Settings};
 use steprelay_settings::Site;
 
