--- a/copies/src/member.rs
+++ b/copies/src/member.rs
@@ -4,8 +4,12 @@
 //! nothing taken over, without a lease: whoever sleeps or is cut off finds out first whether it was
 //! succeeded.
 
+mod handover;
+
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
+use handover::{Ended, Handing, Successor};
+
 use crate::holder::Holder;
 use crate::placement::{holders, Place};
 use crate::takeover::{Found, Takeover};
@@ -118,32 +122,6 @@
     until: Millis,
 }
 
-#[derive(Debug)]
-struct Handing {
-    count: u64,
-    to: Successor,
-    changes: Vec<Change>,
-    /// These calls were relinquished: the process waits to be told that they are the successor's no more.
-    relinquished: bool,
-    said: Option<Millis>,
-    until: Millis,
-}
-
-/// Who writes a stream after its writer was taken for lost.
-#[derive(Clone, Debug)]
-struct Successor {
-    name: String,
-    stream: StreamId,
-    epoch: u64,
-}
-
-/// The end of a call that a member was told of, or has itself told the caller of.
-#[derive(Clone, Copy, Debug)]
-struct Ended {
-    at: Millis,
-    here: bool,
-}
-
 #[derive(Debug)]
 pub struct Member {
     name: String,
@@ -296,63 +274,6 @@
         self.waiting.push_back((self.noted, self.own.stream(), number));
     }
 
-    /// The process has given the release of a call that it did not know: others must hear that it is over.
-    pub fn passed_on(&mut self, now: Millis, call: Call) {
-        if !self.ended_here(call) {
-            self.remember(call, Ended { at: now, here: true });
-            self.passed_on.push(call);
-        }
-    }
-
-    /// The process has told the caller of a call that it is over, which another member is about to do: it is
-    /// told so once, since it waits for that for less time than a second word would take.
-    pub fn given(&mut self, now: Millis, call: Call) {
-        self.remember(call, Ended { at: now, here: true });
-        for to in &self.others {
-            let word = Word::Over { count: ANSWER, calls: vec![call] };
-            self.words.push((to.clone(), word));
-        }
-    }
-
-    /// Calls that were given up to the successor of this member's own stream, and whose callers were told
-    /// nothing here: the successor is asked to drop them, and says which of them it has ended.
-    pub fn relinquish(&mut self, now: Millis, calls: Vec<Call>) {
-        let Some(successor) = self.successor.clone() else {
-            return self.news.push_back(News::Relinquished(calls));
-        };
-        for calls in calls.chunks(MOST_CALLS) {
-            let changes = calls.iter().map(|call| (*call, None)).collect();
-            self.hand(now, &successor, changes, true);
-        }
-    }
-
-    fn hand(&mut self, now: Millis, to: &Successor, changes: Vec<Change>, relinquished: bool) {
-        self.count += 1;
-        let (count, to, until) = (self.count, to.clone(), now + TOLD_FOR);
-        self.handings.push(Handing { count, to, changes, relinquished, said: None, until });
-    }
-
-    fn ended_here(&self, call: Call) -> bool {
-        self.overs.get(&call).is_some_and(|ended| ended.here)
-    }
-
-    fn remember(&mut self, call: Call, ended: Ended) {
-        let Ended { at: now, here } = ended;
-        let before = self.overs.get(&call).map(|ended| ended.here);
-        self.overs.insert(call, Ended { at: now, here: here || before == Some(true) });
-        if before.is_none() {
-            self.over_order.push_back(call);
-        }
-        while let Some(oldest) = self.over_order.front().copied() {
-            let old = self.overs.get(&oldest).is_none_or(|ended| now > ended.at + REMEMBER);
-            if !old && self.over_order.len() <= MOST_REMEMBERED {
-                break;
-            }
-            self.over_order.pop_front();
-            self.overs.remove(&oldest);
-        }
-    }
-
     /// A word of another member, in its start `boot`.
     pub fn received(&mut self, now: Millis, from: &str, boot: u64, word: Word) {
         match word {
@@ -403,24 +324,6 @@
         self.look_at_covered();
     }
 
-    /// What the writer of a stream that this member took over noted last. It says it again until what the
-    /// holders had is taken up here.
-    fn take_handover(&mut self, from: &str, count: u64, stream: StreamId, epoch: u64, changes: Vec<Change>) {
-        let taken = self.adopted.get(&stream).is_some_and(|writer| writer.epoch() == epoch);
-        if !taken && !self.settling.contains_key(&stream) && !self.settled.contains(&stream) {
-            return;
-        }
-        // Ahead of the confirmation, so that the other one does not end them too.
-        let dropped = changes.iter().filter(|(_, record)| record.is_none()).map(|(call, _)| *call);
-        let calls: Vec<Call> = dropped.filter(|call| self.ended_here(*call)).collect();
-        if !calls.is_empty() {
-            self.words.push((from.into(), Word::Over { count: ANSWER, calls }));
-        }
-        let calls = changes.into_iter().filter(|(call, _)| !self.overs.contains_key(call));
-        self.news.push_back(News::Handed(calls.collect()));
-        self.words.push((from.into(), Word::HandedOver { count }));
-    }
-
     fn at_writers(&mut self, now: Millis, from: &str, boot: u64, word: &Word) {
         for writer in [&mut self.own].into_iter().chain(self.adopted.values_mut()) {
             writer.received(now, from, boot, word.clone());
@@ -552,23 +455,6 @@
         self.news.push_back(News::Renounce(calls));
     }
 
-    fn hand_over(&mut self, now: Millis, old: &Writer, by: &Authority) -> Successor {
-        let exposed = self.paused.as_ref();
-        let known = |call: &Call| exposed.is_none_or(|calls| calls.contains(call));
-        let changes: Vec<Change> = old.unsure();
-        // An attempt is called off here; and of calls that began without a lease nobody else has heard.
-        let told = changes.into_iter().filter(|(call, record)| {
-            !matches!(record, Some(Record::Out { .. })) && (record.is_none() || known(call))
-        });
-        // Of what is given here all members are told that it is over.
-        let changes: Vec<Change> = told.filter(|(call, _)| !self.ended_here(*call)).collect();
-        let successor = Successor { name: by.name.clone(), stream: old.stream(), epoch: by.epoch };
-        for changes in changes.chunks(MOST_CALLS) {
-            self.hand(now, &successor, changes.to_vec(), false);
-        }
-        successor
-    }
-
     fn begin_takeover(&mut self, now: Millis, known: &Known, stream: StreamId, epoch: u64) {
         let own = self.holder.copy(stream).map(|copy| Found {
             epoch: copy.epoch(),
@@ -676,16 +562,6 @@
         }
     }
 
-    /// What a successor has not confirmed by now stays its own.
-    fn expire_handings(&mut self, now: Millis) {
-        let (open, late): (Vec<_>, Vec<_>) =
-            std::mem::take(&mut self.handings).into_iter().partition(|handing| now < handing.until);
-        self.handings = open;
-        for handing in late.into_iter().filter(|handing| handing.relinquished) {
-            self.news.push_back(News::Given(handing.changes.into_iter().map(|(call, _)| call).collect()));
-        }
-    }
-
     pub fn name(&self) -> &str {
         &self.name
     }
