Move the delivery of releases from the relay stage to a module of its own

No behaviour changes: what was Owed, untaken and passed on in core/src/relay.rs is core/src/delivery.rs, with the terms of the glossary (pending release, delivery, acknowledgement).

--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -9,6 +9,7 @@
 mod bound;
 mod cause;
 mod clients;
+mod delivery;
 pub mod duty;
 mod promise;
 mod relay;
@@ -33,6 +34,7 @@
 pub use cause::ReleaseCause;
 use clients::Clients;
 pub use clients::{Bounds, ClientId, Peer};
+use delivery::Deliveries;
 use duty::Duty;
 pub use promise::Promise;
 use promise::Promises;
@@ -197,8 +199,8 @@
     Stop(CallId, u32),
     /// The end of the call's time, whatever is out.
     Deadline(CallId),
-    /// A release that is not confirmed is looked at again.
-    Owed(CallId),
+    /// A release that is not acknowledged is looked at again.
+    Delivery(CallId),
     /// No member has claimed this release in time.
     Unclaimed(CallId),
     /// Connections that only hold a place are looked for.
@@ -216,6 +218,7 @@
     clients: Clients,
     pending: BTreeMap<CallId, Pending>,
     relay: Relay,
+    deliveries: Deliveries,
     book: Book,
     duty: Duty,
     promises: Promises,
@@ -238,6 +241,7 @@
             clients: Clients::new(bounds),
             pending: BTreeMap::new(),
             relay: Relay::default(),
+            deliveries: Deliveries::default(),
             book: Book::new(site_classes),
             duty: Duty::default(),
             promises: Promises::default(),
@@ -297,7 +301,7 @@
                 Wake::Resume(call) => self.decide(now, Event::Timer(Timer::Call(call))),
                 Wake::Stop(call, attempt) => self.attempt_timed_out(now, call, attempt),
                 Wake::Deadline(call) => self.deadline_passed(now, call),
-                Wake::Owed(call) => self.release_due(now, call),
+                Wake::Delivery(call) => self.delivery_due(now, call),
                 Wake::Unclaimed(call) => self.release_unclaimed(now, call),
                 Wake::Sweep => {
                     for client in self.clients.useless(now) {
@@ -358,10 +362,10 @@
 
     /// Clients that are not let go of now.
     fn stays(&self, now: Micros) -> BTreeSet<ClientId> {
-        let mut stays = self.relay.unconfirmed(now);
+        let mut stays = self.deliveries.unacknowledged(now);
         // Releases of what stands need a connection that takes them: the one that made most of the calls
         // stays for them; in the end only for its own, or it would be held idle.
-        let all = self.relay.standing() + self.relay.owed();
+        let all = self.relay.standing() + self.deliveries.len();
         let last = self.clients.last_to_go().filter(|(_, own)| self.duty.keeps(now, *own, all));
         stays.extend(last.map(|(client, _)| client));
         stays
--- a/core/src/promise.rs
+++ b/core/src/promise.rs
@@ -70,7 +70,8 @@
             .pending
             .iter()
             .filter_map(|(call, pending)| Some((*call, Promise::Out(pending.out?.server))));
-        let released = self.relay.promised().chain(self.unclaimed.promised());
+        let released = self.deliveries.promised().chain(self.unclaimed.promised());
+        let released = self.relay.promised().chain(released);
         out.chain(released).filter(|(call, _)| BoundCall::of(*call).is_none())
     }
 
@@ -163,8 +164,8 @@
             let (server, cause) = (standing.server(), ReleaseCause::NORMAL);
             self.effects.push(Effect::Release { server, call, cause });
             self.call_over(now, call, standing, Outcome::Cancelled, Report::default());
-        } else if self.relay.is_known(call) {
-            self.relay.forget_owed(call);
+        } else if self.deliveries.contains(call) {
+            self.deliveries.forget(call);
             self.promise(call, None, None);
         }
         self.effects.retain(|effect| !matches!(effect, Effect::Released { call: of, .. } if *of == call));
@@ -182,7 +183,7 @@
     pub(super) fn drop_call(&mut self, now: Micros, call: CallId) {
         if let Some(standing) = self.relay.take_standing(call) {
             self.call_over(now, call, standing, Outcome::Ok, Report::default());
-        } else if !self.relay.forget_untaken(call) {
+        } else if !self.deliveries.forget_pending(call) {
             return self.book.note_unknown_over_elsewhere(call);
         }
         self.promise(call, None, None);
@@ -204,9 +205,9 @@
             } else if let Some(standing) = self.relay.take_standing(*call) {
                 // Not known to be over: where its server says here that it is, that is passed on.
                 self.let_standing_go(now, *call, standing);
-            } else if self.promises.doubt.is_none_or(|from| self.relay.is_owed_since_before(*call, from)) {
+            } else if self.promises.doubt.is_none_or(|from| self.deliveries.began_before(*call, from)) {
                 // What came up since the doubt began all members were told of: it is given here.
-                self.relay.forget_owed(*call);
+                self.deliveries.forget(*call);
                 self.unclaimed.forget(*call);
             }
         }
@@ -215,7 +216,8 @@
 
     fn is_known(&self, call: CallId) -> bool {
         self.pending.contains_key(&call)
-            || self.relay.is_known(call)
+            || self.relay.stands(call).is_some()
+            || self.deliveries.contains(call)
             || self.unclaimed.contains(call)
             || self.book.over(call).is_some()
     }
@@ -223,6 +225,8 @@
     fn promise_of(&self, call: CallId) -> Option<Promise> {
         let out = self.pending.get(&call).and_then(|pending| pending.out);
         let out = out.map(|attempt| Promise::Out(attempt.server));
-        out.or_else(|| self.relay.promise_of(call)).or_else(|| self.unclaimed.promise_of(call))
+        out.or_else(|| self.deliveries.promise_of(call))
+            .or_else(|| self.relay.promise_of(call))
+            .or_else(|| self.unclaimed.promise_of(call))
     }
 }
--- a/core/src/relay.rs
+++ b/core/src/relay.rs
@@ -1,27 +1,16 @@
 //! Fifth stage: answers, refusals and releases on their way back, and what stands.
 //!
 //! A call that stands belongs to no connection. Its end may come from anywhere, also for a call that stood
-//! before this process started, and is passed on by any connection that can take it, until one confirms it.
+//! before this process started; [`super::delivery`] sees to it that a caller hears of it.
 
-use std::cmp::Reverse;
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 use std::rc::Rc;
 
 use steprelay_decisions::{CallId, Cause, End, Event, Micros, Outcome, Report, ServerId};
 
 use super::book::Over;
 use super::send::Attempt;
-use super::{BoundCall, ClientId, Core, Effect, Peer, Promise, ReleaseCause, Verdict, Wake};
-
-/// A release is worth passing on this long.
-const HOLD_RELEASES: Micros = 8_000_000;
-/// More of them than this are not kept.
-const MOST_OWED: usize = 20_000;
-/// A caller confirms a release within this, or else another connection takes it: the first may have gone, or
-/// belong to somebody who does not listen. A connection with nothing but tests takes it only after this time.
-const CONFIRMED_WITHIN: Micros = 150_000;
-/// So many connections are given one release.
-const MOST_GIVEN: usize = 6;
+use super::{BoundCall, ClientId, Core, Effect, Peer, Promise, ReleaseCause, Verdict};
 
 #[derive(Clone, Copy, Debug)]
 pub struct Standing {
@@ -50,26 +39,9 @@
     }
 }
 
-/// A release that no caller has confirmed.
-#[derive(Clone, Debug)]
-struct Owed {
-    /// Who made the call, where that is known.
-    client: Option<ClientId>,
-    server: ServerId,
-    cause: ReleaseCause,
-    since: Micros,
-    /// The connections that were given it, the last one last.
-    given: Vec<ClientId>,
-    /// When it is given to another one.
-    again: Micros,
-}
-
 #[derive(Default)]
 pub struct Relay {
     standing: BTreeMap<CallId, Standing>,
-    owed: BTreeMap<CallId, Owed>,
-    /// Those of them that no connection could be given yet.
-    untaken: BTreeSet<CallId>,
 }
 
 impl Relay {
@@ -77,45 +49,18 @@
         self.standing.len()
     }
 
-    /// Releases that no caller has confirmed.
-    pub fn owed(&self) -> usize {
-        self.owed.len()
-    }
-
-    /// Connections that were just given a release, and may still confirm it.
-    pub fn unconfirmed(&self, now: Micros) -> BTreeSet<ClientId> {
-        let given = self.owed.values().filter(|owed| owed.again > now);
-        given.filter_map(|owed| owed.given.last().copied()).collect()
-    }
-
     /// The client whose call stands.
     pub fn owner(&self, call: CallId) -> Option<ClientId> {
         self.standing.get(&call)?.client
     }
 
-    /// What is promised of calls that stand and of releases that are owed.
+    /// What is promised of calls that stand.
     pub fn promised(&self) -> impl Iterator<Item = (CallId, Promise)> + '_ {
-        let calls = self.standing.keys().chain(self.owed.keys());
-        calls.filter_map(|call| Some((*call, self.promise_of(*call)?)))
+        self.standing.iter().map(|(call, standing)| (*call, Promise::Stands(standing.attempt.server)))
     }
 
     pub fn promise_of(&self, call: CallId) -> Option<Promise> {
-        let owed = self.owed.get(&call).map(|owed| Promise::Owed(owed.server, owed.cause));
-        owed.or_else(|| Some(Promise::Stands(self.standing.get(&call)?.attempt.server)))
-    }
-
-    pub fn is_known(&self, call: CallId) -> bool {
-        self.standing.contains_key(&call) || self.owed.contains_key(&call)
-    }
-
-    /// Whether a release came up before this moment.
-    pub fn is_owed_since_before(&self, call: CallId, moment: Micros) -> bool {
-        self.owed.get(&call).is_some_and(|owed| owed.since < moment)
-    }
-
-    /// Whether a caller was given the release.
-    pub fn has_given(&self, call: CallId) -> bool {
-        self.owed.get(&call).is_some_and(|owed| !owed.given.is_empty())
+        Some(Promise::Stands(self.standing.get(&call)?.attempt.server))
     }
 
     pub fn adopt(&mut self, call: CallId, standing: Standing) {
@@ -126,20 +71,6 @@
         self.standing.remove(&call)
     }
 
-    pub fn forget_owed(&mut self, call: CallId) {
-        self.owed.remove(&call);
-        self.untaken.remove(&call);
-    }
-
-    /// Forgets a release that nobody was given yet; whether there was one.
-    pub fn forget_untaken(&mut self, call: CallId) -> bool {
-        let untaken = self.owed.get(&call).is_some_and(|owed| owed.given.is_empty());
-        if untaken {
-            self.forget_owed(call);
-        }
-        untaken
-    }
-
     pub fn stands(&self, call: CallId) -> Option<&Standing> {
         self.standing.get(&call)
     }
@@ -151,7 +82,7 @@
         if let Some(spare) = self.clients.opened(client, peer, now) {
             self.let_go(spare);
         }
-        self.pass_on_untaken(now);
+        self.deliver_pending(now);
     }
 
     /// A client's connection is gone: no answer can reach what waits on it, but what stands goes on.
@@ -161,11 +92,7 @@
         for call in waiting.map(|(call, _)| *call).collect::<Vec<_>>() {
             self.abandon(now, call, Over::Unheard);
         }
-        // What it was given may never have arrived.
-        let owed = self.relay.owed.iter().filter(|(_, owed)| owed.given.last() == Some(&client));
-        for call in owed.map(|(call, _)| *call).collect::<Vec<_>>() {
-            self.pass_on(now, call);
-        }
+        self.redeliver_from(now, client);
     }
 
     /// A client can be told nothing for now, or can again. Nothing is sent for its set-ups meanwhile: what is
@@ -184,15 +111,6 @@
         self.clients.heard(client, now);
     }
 
-    /// A client confirms that it has heard a release.
-    pub fn release_heard(&mut self, now: Micros, client: ClientId, call: CallId) {
-        self.clients.heard(client, now);
-        if self.relay.owed.get(&call).is_some_and(|owed| owed.given.contains(&client)) {
-            self.relay.owed.remove(&call);
-            self.promise(call, None, None);
-        }
-    }
-
     /// A client gives a set-up up or releases a call that stands.
     pub fn client_ended(&mut self, now: Micros, client: ClientId, call: CallId, cause: ReleaseCause) {
         self.clients.heard(client, now);
@@ -351,76 +269,6 @@
         self.decide(now, Event::Ended(end));
     }
 
-    pub(super) fn release_to(
-        &mut self,
-        now: Micros,
-        client: Option<ClientId>,
-        server: ServerId,
-        call: CallId,
-        cause: ReleaseCause,
-    ) {
-        if self.relay.owed.len() >= MOST_OWED {
-            self.book.counts.releases_lost += 1;
-            self.promise(call, None, None);
-            return;
-        }
-        self.promise(call, Some(Promise::Owed(server, cause)), None);
-        let owed = Owed { client, server, cause, since: now, given: Vec::new(), again: now };
-        self.relay.owed.insert(call, owed);
-        self.relay.untaken.insert(call);
-        self.release_due(now, call);
-    }
-
-    /// Looks after a release until it is confirmed, or nobody waits for it any more.
-    pub(super) fn release_due(&mut self, now: Micros, call: CallId) {
-        let Some(owed) = self.relay.owed.get(&call) else { return };
-        if owed.again <= now && !self.is_doubted(owed.since) {
-            if now >= owed.since + HOLD_RELEASES || owed.given.len() >= MOST_GIVEN {
-                self.relay.owed.remove(&call);
-                if self.relay.untaken.remove(&call) {
-                    self.book.counts.releases_lost += 1;
-                }
-                self.promise(call, None, None);
-                return;
-            }
-            self.pass_on(now, call);
-        }
-        if let Some(owed) = self.relay.owed.get(&call) {
-            let at =
-                if self.is_doubted(owed.since) { now + CONFIRMED_WITHIN } else { owed.again.max(now + 1) };
-            self.wakes.push(Reverse((at, Wake::Owed(call))));
-        }
-    }
-
-    /// Gives a release to the next connection that can take it.
-    fn pass_on(&mut self, now: Micros, call: CallId) {
-        let Some(since) = self.relay.owed.get(&call).map(|owed| owed.since) else { return };
-        // Another one may have given it meanwhile.
-        let doubted = self.is_doubted(since);
-        let Some(owed) = self.relay.owed.get_mut(&call) else { return };
-        let untested = now >= owed.since + CONFIRMED_WITHIN;
-        owed.again = now + CONFIRMED_WITHIN;
-        if doubted {
-            return;
-        }
-        let Some(client) = self.clients.taker(owed.client, &owed.given, untested) else { return };
-        self.effects.push(Effect::Released { client, call, cause: owed.cause });
-        owed.given.push(client);
-        self.relay.untaken.remove(&call);
-        if client.is_bound() {
-            // Its front sees to it that the release is confirmed.
-            self.relay.owed.remove(&call);
-            self.promise(call, None, None);
-        }
-    }
-
-    /// Passes on the releases that wait for a connection.
-    pub(super) fn pass_on_untaken(&mut self, now: Micros) {
-        for call in self.relay.untaken.iter().copied().collect::<Vec<_>>() {
-            self.pass_on(now, call);
-        }
-    }
-
     /// Gives a call its final answer.
     pub(super) fn finish(&mut self, now: Micros, call: CallId, verdict: Verdict) {
         let Some(pending) = self.forget(call) else { return };
--- a/core/src/send.rs
+++ b/core/src/send.rs
@@ -104,7 +104,7 @@
                 self.wakes.push(Reverse((pending.answer_by, Wake::Deadline(call.id))));
                 self.pending.insert(call.id, pending);
                 self.clients.called(client, now);
-                self.pass_on_untaken(now);
+                self.deliver_pending(now);
                 return self.decide(now, Event::Call(call));
             }
             Ok(_) => Verdict::Refused { wait: None },
--- a/core/src/unclaimed.rs
+++ b/core/src/unclaimed.rs
@@ -73,7 +73,7 @@
             return;
         }
         let is_told_here = self.pending.contains_key(&call)
-            || self.relay.has_given(call)
+            || self.deliveries.has_given(call)
             || self.book.over(call) == Some(Over::Answered);
         if !is_told_here {
             return self.drop_call(now, call);
