Give a release to a second connection only where the first turns out not to listen

Cause: a release was due for another connection 150 ms after it was decided on, by the clock of this process's own turn.

Now each release is in one typed stage (core/src/delivery.rs): pending, queued, sent, acknowledged. The time for an acknowledgement runs from when the last byte has left, and is over only when the connection's own reader says that nothing unread waits on it, behind all that it has read. What has not left after 150 ms is taken back and given to another one, or given back where there is none.

--- a/agent/src/front/m3ua/mod.rs
+++ b/agent/src/front/m3ua/mod.rs
@@ -306,7 +306,7 @@
                 Verdict::Failed => release(call, ReleaseCause::TEMPORARY.0, None),
                 Verdict::Invalid => release(call, ReleaseCause::PROTOCOL.0, None),
             },
-            ToClient::Released { call, cause } => {
+            ToClient::Released { call, cause, .. } => {
                 // A call that stood before this process started is not known here, but its id names its
                 // circuit. One of this process that is not known has been released by the client already.
                 let known = self.handle.office.borrow().knows(client, CallRef(call.0));
@@ -322,6 +322,7 @@
             // A peer's association is not a call's: it ends with the program.
             ToClient::Passed(_)
             | ToClient::NotPassed(_)
+            | ToClient::AskIfSilent(_)
             | ToClient::LetGo { .. }
             | ToClient::Pause
             | ToClient::CloseIfPaused { .. }
--- a/agent/src/front/platform/clients.rs
+++ b/agent/src/front/platform/clients.rs
@@ -63,14 +63,28 @@
             gate.open();
             Ok(ControlFlow::Continue(()))
         }
+        ToClient::AskIfSilent(call) => {
+            if gate.is_waiting() && !in_part.get() && !unread(&stream) {
+                // Where the owner has no room for it, it asks again.
+                let _ = shared.inputs.try_send(Input::ClientSilent { client, call: *call });
+            }
+            Ok(ControlFlow::Continue(()))
+        }
         ToClient::LetGo { .. } | ToClient::CloseIfPaused { .. } | ToClient::Finish => {
             Ok(ControlFlow::Break(()))
         }
         _ => Err(io::ErrorKind::InvalidInput.into()),
     };
+    let written = |line: &ToClient| {
+        if let ToClient::Released { call, .. } = line {
+            let sent = Input::ReleaseSent { client, call: *call, at: shared.clock.now() };
+            // Where the owner has no room for it, it finds out when it takes the release back.
+            let _ = shared.inputs.try_send(sent);
+        }
+    };
     let ended = tokio::select! {
         ended = read(&mut incoming, client, &shared, &inputs, true) => ended,
-        ended = conn::write_posted(&stream, &shared.pool, &mut inbox, encode, left_out, |_| {}) => {
+        ended = conn::write_posted(&stream, &shared.pool, &mut inbox, encode, left_out, written) => {
             // A connection that is closed with something unread is reset, and its last answers with it where
             // they were not read yet. Whoever has sent a set-up by now sends it again elsewhere.
             if ended.is_ok() && SockRef::from(&stream).shutdown(Shutdown::Write).is_ok() {
@@ -215,13 +229,16 @@
             };
             message::write(buffer, "end", *call, &[], Some(cause.0), None)
         }
-        ToClient::Released { call, cause } => message::write(buffer, "end", *call, &[], Some(cause.0), None),
+        ToClient::Released { call, cause, .. } => {
+            message::write(buffer, "end", *call, &[], Some(cause.0), None)
+        }
         // Callers of this front learn it from the tests that they make.
         ToClient::Draining | ToClient::Pressure(_) => Ok(()),
         ToClient::Passed(call) => message::write(buffer, "tested", *call, &[], Some(1), None),
         ToClient::NotPassed(call) => message::write(buffer, "tested", *call, &[], Some(0), None),
         // No message: it is left out, and heard of by that.
-        ToClient::LetGo { .. }
+        ToClient::AskIfSilent(_)
+        | ToClient::LetGo { .. }
         | ToClient::Pause
         | ToClient::CloseIfPaused { .. }
         | ToClient::Resume
--- a/agent/src/front/platform/servers.rs
+++ b/agent/src/front/platform/servers.rs
@@ -69,7 +69,11 @@
         ToServer::Finish => Ok(ControlFlow::Break(())),
         _ => Ok(ControlFlow::Continue(())),
     };
-    let dispatched = |attempts| shared.tally(|tallies| tallies.dispatches += attempts);
+    let dispatched = |line: &ToServer| {
+        if line.set_up().is_some() {
+            shared.tally(|tallies| tallies.dispatches += 1);
+        }
+    };
     let encode = |line: &ToServer, buffer: &mut Buffer| encode(line, buffer, &shared.site.class_names);
     let mut incoming = Incoming::new(&stream, &shared.pool, message::split, WHOLE_WITHIN);
     tokio::select! {
--- a/agent/src/net/owner.rs
+++ b/agent/src/net/owner.rs
@@ -9,9 +9,11 @@
 use tokio::sync::mpsc;
 use tokio::time::{sleep, sleep_until, Duration};
 
+mod delivery;
 mod replication;
 mod settle;
 
+use delivery::UnsentReleases;
 use settle::Deferred;
 
 use super::copies::{Copies, CopiesEnd};
@@ -44,6 +46,7 @@
     /// Where what is promised is copied to others.
     copies: Option<Copies>,
     deferred: Deferred,
+    unsent: UnsentReleases,
     /// Probes that are out, with their servers and when they left.
     probes: BTreeMap<CallId, (ServerId, Micros)>,
     started: Micros,
@@ -65,6 +68,7 @@
             links: Links::default(),
             copies: None,
             deferred: Deferred::default(),
+            unsent: UnsentReleases::default(),
             probes: BTreeMap::new(),
             started,
             polled: started,
@@ -214,6 +218,7 @@
             }
             Input::ClientClosed { client } => {
                 self.clients.remove(&client);
+                self.unsent.forget(client);
                 self.core.client_closed(now, client);
             }
             Input::ClientAway { client, away } => self.core.client_away(client, away),
@@ -231,6 +236,8 @@
                 self.tell(client, if passes { ToClient::Passed(call) } else { ToClient::NotPassed(call) });
             }
             Input::ClientPaused { client, inputs } => self.core.client_paused(now, client, inputs),
+            Input::ReleaseSent { client, call, at } => self.release_sent(at, client, call),
+            Input::ClientSilent { client, call } => self.core.client_silent(now, client, call),
             Input::ReleaseHeard { client, call } => self.core.release_heard(now, client, call),
             Input::LinkUp { link, outbox } if self.links.is_current(link) => {
                 trace::link(link, "is up");
@@ -513,7 +520,9 @@
                 self.tell(client, ToClient::Answer { call, description })
             }
             Effect::Final { client, call, verdict } => self.tell(client, ToClient::Final { call, verdict }),
-            Effect::Released { client, call, cause } => self.tell(client, ToClient::Released { call, cause }),
+            Effect::Released { client, call, cause } => self.give_release(client, call, cause),
+            Effect::WithdrawRelease { client, call } => self.withdraw_release(now, client, call),
+            Effect::AskIfSilent { client, call } => self.post(client, ToClient::AskIfSilent(call)),
             Effect::LetGo { client, inputs } => self.post(client, ToClient::LetGo { inputs }),
             Effect::Pause { client } => self.post(client, ToClient::Pause),
             Effect::CloseIfPaused { client, inputs } => self.post(client, ToClient::CloseIfPaused { inputs }),
--- a/agent/src/net/owner/tests.rs
+++ b/agent/src/net/owner/tests.rs
@@ -11,6 +11,7 @@
 use steprelay_decisions::{Cause, Report, Settings};
 use steprelay_settings::Site;
 
+mod delivery;
 mod failover;
 mod settle;
 
--- a/agent/src/ports/conn.rs
+++ b/agent/src/ports/conn.rs
@@ -124,7 +124,7 @@
 
 /// Writes what is posted until the owner lets go of the connection. A message that is too long for the
 /// protocol, or has no form in it, is left out; `left_out` says whether it was the last. `written` hears of
-/// attempts that have left whole.
+/// each message that has left whole.
 ///
 /// Nothing is chosen before the connection takes it: what is cancelled until then does not leave.
 pub async fn write_posted<M: Weight>(
@@ -133,7 +133,7 @@
     inbox: &mut Inbox<M>,
     encode: impl Fn(&M, &mut Buffer) -> io::Result<()>,
     left_out: impl Fn(&M) -> io::Result<ControlFlow<()>>,
-    written: impl Fn(u64),
+    written: impl Fn(&M),
 ) -> io::Result<()> {
     while let Some(first) = inbox.next().await {
         stream.writable().await?;
@@ -163,7 +163,7 @@
         let taken = write_taken(stream, buffer.filled(), &parts).await;
         pool.put(buffer);
         finish(inbox, &mut parts, taken?);
-        written(parts.iter().filter(|part| part.message.is_attempt()).count() as u64);
+        parts.iter().for_each(|part| written(&part.message));
     }
     Ok(())
 }
--- a/agent/src/ports/conn/gate.rs
+++ b/agent/src/ports/conn/gate.rs
@@ -33,6 +33,11 @@
         self.waiting.set(false);
     }
 
+    /// Whether the reader holds no message that it has not handed on.
+    pub fn is_waiting(&self) -> bool {
+        self.waiting.get()
+    }
+
     /// Has nothing read from now on; false, and nothing is changed, while the reader holds a message or
     /// `unread` says that one has come.
     pub fn close(&self, unread: bool) -> bool {
--- a/agent/src/ports/dispatch.rs
+++ b/agent/src/ports/dispatch.rs
@@ -1,5 +1,6 @@
-//! A set-up on its way to a server. Until its first byte leaves, whoever posted it can cancel it: its caller
-//! may go, or its server be told to drain, while it waits for a connection that takes nothing.
+//! A set-up on its way to a server, or a release on its way to a client. Until its first byte leaves,
+//! whoever posted it can cancel it: a caller may go, or a server be told to drain, while it waits for a
+//! connection that takes nothing.
 
 use std::cell::Cell;
 use std::rc::Rc;
--- a/agent/src/ports/mod.rs
+++ b/agent/src/ports/mod.rs
@@ -42,7 +42,11 @@
     Released {
         call: CallId,
         cause: ReleaseCause,
+        dispatch: Dispatch,
     },
+    /// Whether anything waits on the connection that was not handed on; if nothing does, that is told as
+    /// [`Input::ClientSilent`].
+    AskIfSilent(CallId),
     /// A test of this call agent has passed.
     Passed(CallId),
     /// This call agent is about to stop: new set-ups are better made elsewhere.
@@ -90,6 +94,16 @@
             _ => SMALL,
         }
     }
+
+    fn is_cancelled(&self) -> bool {
+        matches!(self, ToClient::Released { dispatch, .. } if dispatch.is_cancelled())
+    }
+
+    fn begins(&self) {
+        if let ToClient::Released { dispatch, .. } = self {
+            dispatch.begin();
+        }
+    }
 }
 
 impl ToServer {
@@ -180,6 +194,17 @@
         client: ClientId,
         inputs: u64,
     },
+    /// The last byte of a release has left at this time.
+    ReleaseSent {
+        client: ClientId,
+        call: CallId,
+        at: Micros,
+    },
+    /// Nothing waited on a client's connection that was not handed on before this.
+    ClientSilent {
+        client: ClientId,
+        call: CallId,
+    },
     /// A client confirms a release.
     ReleaseHeard {
         client: ClientId,
--- a/agent/src/trace.rs
+++ b/agent/src/trace.rs
@@ -99,6 +99,8 @@
         Input::ClientEnded { client, call, cause } => {
             trace!("{} ended by {} cause {}", Id(*call), client.0, cause.0)
         }
+        Input::ReleaseSent { client, call, .. } => trace!("{} release sent to {}", Id(*call), client.0),
+        Input::ClientSilent { client, call } => trace!("{} nothing waits from {}", Id(*call), client.0),
         Input::ReleaseHeard { client, call } => trace!("{} release heard by {}", Id(*call), client.0),
         Input::Answered { link, call, .. } => trace!("{} answered by server {}", Id(*call), link.server.0),
         Input::Ended { link, call, cause, note, .. } => {
@@ -163,6 +165,12 @@
             trace!("{} refused to {} wait {wait:?}, ready: {}", Id(*call), client.0, Servers(core, now))
         }
         Effect::Final { client, call, verdict } => trace!("{} {verdict:?} to {}", Id(*call), client.0),
+        Effect::WithdrawRelease { client, call } => {
+            trace!("{} release to {} is taken back if it has not left", Id(*call), client.0)
+        }
+        Effect::AskIfSilent { client, call } => {
+            trace!("{} release not acknowledged by {}, which is asked for", Id(*call), client.0)
+        }
         Effect::Released { client, call, cause } => {
             trace!("{} released to {} cause {}", Id(*call), client.0, cause.0)
         }
--- a/core/src/clients.rs
+++ b/core/src/clients.rs
@@ -5,12 +5,23 @@
 
 use steprelay_decisions::Micros;
 
+use super::round_trip::RoundTrips;
+
 /// A connection that has sent nothing that makes sense is let go after this time.
 const SILENT: Micros = 2_000_000;
 /// One with no call on it, after this: callers close theirs after 4 s.
 const IDLE: Micros = 5_000_000;
 /// Clients that are sent away have this long for the first word on a new connection.
 const FIRST: Micros = 200_000;
+/// A connection on which nothing comes for so long after a release has left is taken for one that does not
+/// listen: one that has made tests only; one that has made calls; one that has acknowledged a release before.
+/// Two of the latter two fit into the second in which a caller is to have a release.
+const PATIENCE_TESTS_ONLY: Micros = 150_000;
+const PATIENCE_CALLING: Micros = 400_000;
+const PATIENCE_LISTENING: Micros = 600_000;
+/// Where acknowledgements take longer than that, since this machine or the callers' are far behind, so does the
+/// patience with callers, within this.
+const MAX_PATIENCE: Micros = 4_000_000;
 
 /// Whoever calls are taken from and answered to: a caller's connection, or a peer of the M3UA front.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -51,6 +62,8 @@
     /// When it last made a call that was taken in, and whether any has stood.
     called: Option<Micros>,
     proven: bool,
+    /// When the latest release that it has acknowledged had left.
+    acknowledged: Option<Micros>,
     /// It can be told nothing for now.
     away: bool,
     /// Its calls that wait for an answer, and those that stand.
@@ -68,18 +81,22 @@
 pub struct Clients {
     bounds: Bounds,
     clients: BTreeMap<ClientId, Client>,
+    /// From when a release has left until its acknowledgement is read.
+    round_trips: RoundTrips,
 }
 
 impl Clients {
     pub fn new(bounds: Bounds) -> Self {
-        Clients { bounds, clients: BTreeMap::new() }
+        Clients { bounds, clients: BTreeMap::new(), round_trips: RoundTrips::default() }
     }
 
     /// Takes in a connection; returns the one to let go of where there are too many.
     pub fn opened(&mut self, id: ClientId, peer: Option<Peer>, now: Micros) -> Option<ClientId> {
         let (heard, called, proven) = (None, None, id.is_bound());
-        let (opened, away) = (now, false);
-        let client = Client { peer, opened, inputs: 0, heard, called, proven, away, open: 0, standing: 0 };
+        let (opened, acknowledged, away) = (now, None, false);
+        let (inputs, open, standing) = (0, 0, 0);
+        let client =
+            Client { peer, opened, inputs, heard, called, proven, acknowledged, away, open, standing };
         self.clients.insert(id, client);
         let of_peer = |client: &Client| peer.is_some() && client.peer == peer;
         if self.clients.values().filter(|client| of_peer(client)).count() > self.bounds.connections_of_one {
@@ -139,6 +156,28 @@
         self.clients.get(&client).is_some_and(|client| client.away)
     }
 
+    /// It has acknowledged a release that had left at this time.
+    pub fn acknowledged(&mut self, now: Micros, client: ClientId, sent: Micros) {
+        self.round_trips.measured(now - sent);
+        self.change(client, |client| client.acknowledged = client.acknowledged.max(Some(sent)));
+    }
+
+    /// Until when a caller's acknowledgement of a release that left at this time is waited for. A connection
+    /// that is known to listen is heard out for as long as it says anything, unless it has acknowledged a
+    /// later release and so passed this one over.
+    pub fn patience_ends(&self, client: ClientId, sent: Micros) -> Micros {
+        let Some(client) = self.clients.get(&client) else { return sent };
+        let patience = |least: Micros| least.max(self.round_trips.timeout()).min(MAX_PATIENCE);
+        match (client.acknowledged, client.called) {
+            (Some(latest), _) if latest <= sent => {
+                client.heard.map_or(sent, |heard| heard.max(sent)) + patience(PATIENCE_LISTENING)
+            }
+            (Some(_), _) => sent + patience(PATIENCE_LISTENING),
+            (None, Some(_)) => sent + patience(PATIENCE_CALLING),
+            (None, None) => sent + PATIENCE_TESTS_ONLY,
+        }
+    }
+
     /// Something that makes no sense came from it.
     pub fn unfit(&mut self, client: ClientId) {
         self.change(client, |client| client.inputs += 1);
--- a/core/src/delivery.rs
+++ b/core/src/delivery.rs
@@ -1,5 +1,17 @@
-//! Delivery of releases to callers: each is given to a connection that can take it, and to another one until
-//! a caller acknowledges it.
+//! Delivery of releases to callers: each is given to a connection that can take it, and to another one where
+//! that connection turns out not to listen, until a caller acknowledges it.
+//!
+//! | stage | what is known | what comes next |
+//! | --- | --- | --- |
+//! | pending | no connection could take it | given to the next one that can |
+//! | queued | it waits in a connection's send queue | sent; taken back where that takes nothing |
+//! | sent | its last byte has left | acknowledged; else the connection is asked for unread words |
+//! | sent, silent | nothing came that was not handed on | redelivered |
+//! | acknowledged | a caller knows | forgotten |
+//!
+//! A deadline on a caller's word begins when the release has left, and is over only when the connection's own
+//! reader has said that nothing waits on it. So a late turn of this process is never taken for a caller's
+//! silence. Redelivery to a caller that has heard the release already breaks the rule that it is given once.
 
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet};
@@ -12,13 +24,29 @@
 const DELIVERY_DEADLINE: Micros = 8_000_000;
 /// More of them than this are not kept.
 const MAX_PENDING_RELEASES: usize = 20_000;
-/// A caller acknowledges a release within this, or else another connection is given it: the first may have
-/// gone, or belong to somebody who does not listen. A connection with nothing but tests takes it only after
-/// this time.
-const ACKNOWLEDGED_WITHIN: Micros = 150_000;
+/// A release that no connection could take is tried again this often.
+const RETRY_INTERVAL: Micros = 150_000;
+/// A release that has not left within this is taken back: its connection takes nothing.
+const SENT_WITHIN: Micros = 150_000;
+/// A connection that is not known to be silent is asked again after this.
+const SILENCE_CHECK_INTERVAL: Micros = 50_000;
+/// A connection on which a caller may still acknowledge a release is not let go of for so long where clients
+/// are sent away, and for so long where it is idle.
+pub const KEPT_OPEN_FOR: Micros = 600_000;
+pub const KEPT_IDLE_FOR: Micros = 250_000;
 /// So many connections are given one release.
 const MAX_DELIVERIES: usize = 6;
 
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Stage {
+    /// No connection could take it.
+    Pending,
+    /// It waits in the send queue of the connection that was given it last.
+    Queued,
+    /// Its last byte has left on that connection at this time.
+    Sent(Micros),
+}
+
 /// A release that no caller has acknowledged.
 #[derive(Clone, Debug)]
 struct Delivery {
@@ -27,10 +55,18 @@
     server: ServerId,
     cause: ReleaseCause,
     since: Micros,
-    /// The connections that were given it, the last one last.
+    /// The connections that were given it, the last one last, and when that one was.
     given: Vec<ClientId>,
-    /// When it is given to another one.
-    redelivered_at: Micros,
+    given_at: Micros,
+    stage: Stage,
+    /// When it is looked at again.
+    due: Micros,
+}
+
+impl Delivery {
+    fn is_with(&self, client: ClientId) -> bool {
+        self.given.last() == Some(&client)
+    }
 }
 
 /// The releases that no caller has acknowledged.
@@ -58,10 +94,10 @@
         self.releases.iter().map(|(call, release)| (*call, Promise::Owed(release.server, release.cause)))
     }
 
-    /// Connections that were just given a release, and may still acknowledge it.
-    pub fn unacknowledged(&self, now: Micros) -> BTreeSet<ClientId> {
-        let given = self.releases.values().filter(|release| release.redelivered_at > now);
-        given.filter_map(|release| release.given.last().copied()).collect()
+    /// Connections that were given a release less than so long ago, and may still acknowledge it.
+    pub fn unacknowledged(&self, now: Micros, within: Micros) -> BTreeSet<ClientId> {
+        let open = |release: &&Delivery| release.stage != Stage::Pending && now < release.given_at + within;
+        self.releases.values().filter(open).filter_map(|release| release.given.last().copied()).collect()
     }
 
     /// Whether a release came up before this moment.
@@ -87,16 +123,56 @@
         }
         pending
     }
+
+    /// The release of a call, where this connection was given it last.
+    fn with(&mut self, client: ClientId, call: CallId) -> Option<&mut Delivery> {
+        self.releases.get_mut(&call).filter(|release| release.is_with(client))
+    }
 }
 
 impl Core {
+    /// A release has left on a connection, at this time.
+    pub fn release_sent(&mut self, at: Micros, client: ClientId, call: CallId) {
+        if let Some(release) = self.deliveries.with(client, call) {
+            release.stage = Stage::Sent(at);
+            release.due = self.clients.patience_ends(client, at);
+        }
+    }
+
+    /// A release that waited for a connection was taken back before its first byte left. Where no other one
+    /// can take it, that connection is given it again.
+    pub fn release_withdrawn(&mut self, now: Micros, client: ClientId, call: CallId) {
+        let Some(release) = self.deliveries.with(client, call) else { return };
+        release.stage = Stage::Pending;
+        self.redeliver(now, call);
+        if let Some(release) = self.deliveries.with(client, call) {
+            release.given.pop();
+            self.deliver(now, call);
+        }
+    }
+
+    /// Asked for by [`Effect::AskIfSilent`]: nothing waits on a connection that was not handed on before
+    /// this.
+    pub fn client_silent(&mut self, now: Micros, client: ClientId, call: CallId) {
+        let Some(release) = self.deliveries.with(client, call) else { return };
+        let Stage::Sent(at) = release.stage else { return };
+        if now >= self.clients.patience_ends(client, at) {
+            self.redeliver(now, call);
+        }
+    }
+
     /// A client acknowledges a release.
     pub fn release_heard(&mut self, now: Micros, client: ClientId, call: CallId) {
         self.clients.heard(client, now);
-        if self.deliveries.releases.get(&call).is_some_and(|release| release.given.contains(&client)) {
-            self.deliveries.releases.remove(&call);
-            self.promise(call, None, None);
+        let Some(release) = self.deliveries.releases.get(&call) else { return };
+        if !release.given.contains(&client) {
+            return;
+        }
+        if let (Stage::Sent(at), true) = (release.stage, release.is_with(client)) {
+            self.clients.acknowledged(now, client, at);
         }
+        self.deliveries.forget(call);
+        self.promise(call, None, None);
     }
 
     /// Takes a release on, and gives it to a connection if one can take it.
@@ -114,7 +190,8 @@
             return;
         }
         self.promise(call, Some(Promise::Owed(server, cause)), None);
-        let release = Delivery { client, server, cause, since: now, given: Vec::new(), redelivered_at: now };
+        let (given, stage) = (Vec::new(), Stage::Pending);
+        let release = Delivery { client, server, cause, since: now, given, given_at: now, stage, due: now };
         self.deliveries.releases.insert(call, release);
         self.deliveries.pending.insert(call);
         self.delivery_due(now, call);
@@ -123,23 +200,57 @@
     /// Looks after a release until it is acknowledged, or nobody waits for it any more.
     pub(super) fn delivery_due(&mut self, now: Micros, call: CallId) {
         let Some(release) = self.deliveries.releases.get(&call) else { return };
-        if release.redelivered_at <= now && !self.is_doubted(release.since) {
-            if now >= release.since + DELIVERY_DEADLINE || release.given.len() >= MAX_DELIVERIES {
-                self.deliveries.releases.remove(&call);
-                if self.deliveries.pending.remove(&call) {
-                    self.book.counts.releases_lost += 1;
+        if release.due <= now && !self.is_doubted(release.since) {
+            self.advance(now, call);
+        }
+        let Some(release) = self.deliveries.releases.get(&call) else { return };
+        let at = match self.is_doubted(release.since) {
+            true => now + RETRY_INTERVAL,
+            false => release.due.max(now + 1),
+        };
+        self.wakes.push(Reverse((at, Wake::Delivery(call))));
+    }
+
+    /// Does what is due for a release.
+    fn advance(&mut self, now: Micros, call: CallId) {
+        let Some(release) = self.deliveries.releases.get_mut(&call) else { return };
+        if now >= release.since + DELIVERY_DEADLINE {
+            return self.abandon_delivery(call);
+        }
+        let Some(&client) = release.given.last() else { return self.deliver(now, call) };
+        match release.stage {
+            Stage::Pending => self.redeliver(now, call),
+            Stage::Queued => {
+                release.due = now + SENT_WITHIN;
+                self.effects.push(Effect::WithdrawRelease { client, call });
+            }
+            Stage::Sent(at) => {
+                let patience_ends = self.clients.patience_ends(client, at);
+                if now < patience_ends {
+                    release.due = patience_ends;
+                    return;
                 }
-                self.promise(call, None, None);
-                return;
+                release.due = now + SILENCE_CHECK_INTERVAL;
+                self.effects.push(Effect::AskIfSilent { client, call });
             }
-            self.deliver(now, call);
         }
-        if let Some(release) = self.deliveries.releases.get(&call) {
-            let at = match self.is_doubted(release.since) {
-                true => now + ACKNOWLEDGED_WITHIN,
-                false => release.redelivered_at.max(now + 1),
-            };
-            self.wakes.push(Reverse((at, Wake::Delivery(call))));
+    }
+
+    /// Nobody waits for a release any more.
+    fn abandon_delivery(&mut self, call: CallId) {
+        if self.deliveries.pending.contains(&call) {
+            self.book.counts.releases_lost += 1;
+        }
+        self.deliveries.forget(call);
+        self.promise(call, None, None);
+    }
+
+    /// Gives a release that was given before to another connection, unless it was given to enough.
+    fn redeliver(&mut self, now: Micros, call: CallId) {
+        match self.deliveries.releases.get(&call) {
+            Some(release) if release.given.len() >= MAX_DELIVERIES => self.abandon_delivery(call),
+            Some(_) => self.deliver(now, call),
+            None => {}
         }
     }
 
@@ -149,14 +260,15 @@
         // Another member may have given it meanwhile.
         let doubted = self.is_doubted(since);
         let Some(release) = self.deliveries.releases.get_mut(&call) else { return };
-        let untested = now >= release.since + ACKNOWLEDGED_WITHIN;
-        release.redelivered_at = now + ACKNOWLEDGED_WITHIN;
+        let untested = now >= release.since + RETRY_INTERVAL;
+        release.due = now + RETRY_INTERVAL;
         if doubted {
             return;
         }
         let Some(client) = self.clients.taker(release.client, &release.given, untested) else { return };
         self.effects.push(Effect::Released { client, call, cause: release.cause });
         release.given.push(client);
+        (release.given_at, release.stage, release.due) = (now, Stage::Queued, now + SENT_WITHIN);
         self.deliveries.pending.remove(&call);
         if client.is_bound() {
             // Its front sees to it that the release is acknowledged.
@@ -174,9 +286,11 @@
 
     /// A connection is gone: what it was given last may never have arrived.
     pub(super) fn redeliver_from(&mut self, now: Micros, client: ClientId) {
-        let given = |release: &Delivery| release.given.last() == Some(&client);
-        let calls = self.deliveries.releases.iter().filter(|(_, release)| given(release));
+        let calls = self.deliveries.releases.iter().filter(|(_, release)| release.is_with(client));
         for call in calls.map(|(call, _)| *call).collect::<Vec<_>>() {
+            if let Some(release) = self.deliveries.releases.get_mut(&call) {
+                release.stage = Stage::Pending;
+            }
             self.deliver(now, call);
         }
     }
--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod duty;
 mod promise;
 mod relay;
+mod round_trip;
 mod route;
 mod send;
 mod take_in;
@@ -34,7 +35,7 @@
 pub use cause::ReleaseCause;
 use clients::Clients;
 pub use clients::{Bounds, ClientId, Peer};
-use delivery::Deliveries;
+use delivery::{Deliveries, KEPT_IDLE_FOR, KEPT_OPEN_FOR};
 use duty::Duty;
 pub use promise::Promise;
 use promise::Promises;
@@ -107,6 +108,18 @@
         call: CallId,
         cause: ReleaseCause,
     },
+    /// A release that was given to this client is taken back if its first byte has not left; that is told as
+    /// [`Core::release_withdrawn`], else as [`Core::release_sent`].
+    WithdrawRelease {
+        client: ClientId,
+        call: CallId,
+    },
+    /// Where nothing waits on the client's connection that was not handed on, that is told as
+    /// [`Core::client_silent`].
+    AskIfSilent {
+        client: ClientId,
+        call: CallId,
+    },
     /// The client's connection is ended.
     Close {
         client: ClientId,
@@ -362,7 +375,7 @@
 
     /// Clients that are not let go of now.
     fn stays(&self, now: Micros) -> BTreeSet<ClientId> {
-        let mut stays = self.deliveries.unacknowledged(now);
+        let mut stays = self.deliveries.unacknowledged(now, KEPT_OPEN_FOR);
         // Releases of what stands need a connection that takes them: the one that made most of the calls
         // stays for them; in the end only for its own, or it would be held idle.
         let all = self.relay.standing() + self.deliveries.len();
--- a/core/src/tests.rs
+++ b/core/src/tests.rs
@@ -83,7 +83,7 @@
         while let Some(at) = self.core.next_wake().filter(|&at| at <= until) {
             self.now = at;
             self.core.wake(at);
-            let effects = self.core.take_effects().into_iter();
+            let effects = self.effects().into_iter();
             let acts = effects.filter(|effect| !matches!(effect, Effect::Log(_)));
             done.extend(acts.map(|effect| (at, effect)));
         }
@@ -100,19 +100,40 @@
         self.pass_all(time).into_iter().filter_map(of).collect()
     }
 
+    /// What the core wants done. Connections take a release at once, and have nothing unread.
+    fn effects(&mut self) -> Vec<Effect> {
+        let mut done = Vec::new();
+        loop {
+            let effects = self.core.take_effects();
+            if effects.is_empty() {
+                return done;
+            }
+            for effect in effects {
+                match effect {
+                    Effect::AskIfSilent { client, call } => self.core.client_silent(self.now, client, call),
+                    Effect::Released { client, call, .. } => {
+                        self.core.release_sent(self.now, client, call);
+                        done.push(effect);
+                    }
+                    _ => done.push(effect),
+                }
+            }
+        }
+    }
+
     fn answer(&mut self, server: ServerId, call: u64) -> Vec<Effect> {
         self.core.server_answered(self.now, server, CallId(call), "v=1".into());
-        self.core.take_effects()
+        self.effects()
     }
 
     fn end(&mut self, server: ServerId, call: u64, cause: ReleaseCause) -> Vec<Effect> {
         self.core.server_ended(self.now, server, CallId(call), cause, Cause::Untold, Report::default());
-        self.core.take_effects()
+        self.effects()
     }
 
     fn lost(&mut self, server: ServerId, loss: LinkLoss) -> Vec<Effect> {
         self.core.link_lost(self.now, server, loss);
-        self.core.take_effects()
+        self.effects()
     }
 
     fn breaches(&self) -> u64 {
@@ -699,6 +720,9 @@
 /// A release that a server says again to another member, since the connection that took it ended unconfirmed.
 mod unclaimed;
 
+/// Releases that their callers have not acknowledged.
+mod delivery;
+
 #[test]
 fn a_set_up_that_crossed_our_close_of_its_connection_is_sent_on_only_where_it_comes_again() {
     let mut stand = Stand::new();
