--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -317,8 +317,11 @@
                 Wake::Delivery(call) => self.delivery_due(now, call),
                 Wake::Unclaimed(call) => self.release_unclaimed(now, call),
                 Wake::Sweep => {
+                    let unacknowledged = self.deliveries.unacknowledged(now, KEPT_IDLE_FOR);
                     for client in self.clients.useless(now) {
-                        self.let_go(client);
+                        if !unacknowledged.contains(&client) {
+                            self.let_go(client);
+                        }
                     }
                     self.wakes.push(Reverse((now + SWEEP, Wake::Sweep)));
                 }
--- a/core/src/tests/delivery.rs
+++ b/core/src/tests/delivery.rs
@@ -132,3 +132,20 @@
         assert_eq!(given(&done), if redelivered { vec![OTHER] } else { vec![] }, "{case}");
     }
 }
+
+/// Guards against the close of an idle connection in the same turn in which it is given a release: its
+/// caller's acknowledgement would never be read, and another connection be given the release.
+#[test]
+fn sweeps_no_idle_connection_that_was_just_given_a_release() {
+    let mut stand = with_release();
+    stand.core.release_sent(stand.now, CALLER, CALL);
+    stand.core.release_heard(stand.now, CALLER, CALL);
+    stand.offer(7, 3_000 * MS);
+    stand.answer(ONE, 7);
+    // The process does not run: all that is due is due at once.
+    stand.now += 6_000 * MS;
+    stand.core.server_ended(stand.now, ONE, CallId(7), RELEASE, Cause::Untold, Report::default());
+    stand.core.wake(stand.now);
+    let close = Effect::Close { client: CALLER };
+    assert!(!stand.core.take_effects().contains(&close));
+}
