End a stopping member only once others know what its callers have acknowledged

Cause: neither Owner::is_done nor Owner::flush looked at what replication had in flight.

Now the process goes on, up to the latest end that it has anyway, until replicas hold the last change of each call whose release was given, and the word that it was heard has left to the servers. Where too few others can take copies it waits 1 s at most.

--- a/agent/src/fleet/copies.rs
+++ b/agent/src/fleet/copies.rs
@@ -74,6 +74,13 @@
         self.urgent
     }
 
+    /// Takes the notes that wait.
+    pub fn note_waiting(&mut self, now: Millis) {
+        if let Ok(first) = self.notes.try_recv() {
+            self.note(now, first);
+        }
+    }
+
     pub fn received(&mut self, now: Millis, from: &swim::Member, bytes: &[u8]) {
         // Spoilt words settle nothing.
         if let Ok(word) = postcard::from_bytes::<Word>(bytes) {
--- a/agent/src/fleet/mod.rs
+++ b/agent/src/fleet/mod.rs
@@ -184,10 +184,10 @@
         Ok((Fleet { stop: Some(stop), ended }, end))
     }
 
-    /// Says farewell to the other members.
-    pub async fn leave(mut self) {
+    /// Says farewell to the other members, for so long at most.
+    pub async fn leave(mut self, within: Duration) {
         drop(self.stop.take());
-        let _ = tokio::time::timeout(FAREWELL, &mut self.ended).await;
+        let _ = tokio::time::timeout(within.min(FAREWELL), &mut self.ended).await;
     }
 }
 
--- a/agent/src/fleet/owner.rs
+++ b/agent/src/fleet/owner.rs
@@ -143,6 +143,13 @@
             }
         }
         let now = self.now();
+        if let Some(copies) = &mut self.ends.copies {
+            // What the program has noted by now others are told ahead of the farewell.
+            copies.note_waiting(now);
+            copies.tick(now, &mut self.node);
+            copies.turn(now, &mut self.node);
+        }
+        self.carry_out()?;
         self.node.leave(now);
         self.carry_out()?;
         tokio::time::sleep(FAREWELL).await;
--- a/agent/src/net/copies.rs
+++ b/agent/src/net/copies.rs
@@ -76,6 +76,8 @@
     /// Releases that came, until the notes of them are numbered; and then by that number.
     came: Vec<(LinkId, CallId)>,
     heard: VecDeque<(u64, LinkId, CallId)>,
+    /// The note by which others know all that callers were told of calls that are over, and acknowledged.
+    settled_by: u64,
     /// Too few others can take copies: nothing waits for them.
     short: bool,
     doubt: Option<Doubt>,
@@ -99,6 +101,7 @@
             order: VecDeque::new(),
             came: Vec::new(),
             heard: VecDeque::new(),
+            settled_by: 0,
             short: true,
             doubt: None,
             relinquished: BTreeMap::new(),
@@ -119,6 +122,9 @@
             self.set_ups.remove(&call);
         }
         self.say(Note::Promise(call, promise));
+        if promise.is_none() {
+            self.settled_by = self.noted;
+        }
     }
 
     pub fn passed_on(&mut self, call: CallId) {
@@ -134,6 +140,7 @@
     /// The release of a call leaves. A successor that may have the call by now is not to give it too, also
     /// where it was decided on before the doubt.
     pub fn release_leaves(&mut self, call: CallId) {
+        self.settled_by = self.noted;
         if self.doubts(call) {
             self.passed_on(call);
         }
@@ -277,6 +284,18 @@
         late.iter().filter_map(|call| self.answers.remove(call)).map(|waiting| waiting.effect).collect()
     }
 
+    /// Whether others hold all that callers were told of calls that are over, and servers were told that it was
+    /// heard: else a successor, or another member whom a server tells, gives a release again.
+    pub fn is_settled(&self) -> bool {
+        let told = self.heard.front().is_none_or(|(number, ..)| *number > self.settled_by);
+        !self.behind && self.came.is_empty() && self.covered >= self.settled_by && told
+    }
+
+    /// Whether too few others can take copies now.
+    pub fn is_short(&self) -> bool {
+        self.short
+    }
+
     /// Whether anything waits that time alone may let out.
     pub fn waits(&self) -> bool {
         !self.answers.is_empty() || !self.set_ups.is_empty() || self.doubt.is_some() || self.behind
--- a/agent/src/net/links.rs
+++ b/agent/src/net/links.rs
@@ -517,6 +517,16 @@
         }
     }
 
+    /// Whether nothing waits to be written to any server that is connected.
+    pub fn are_flushed(&self) -> bool {
+        let former = |link: &Link| link.former.as_ref().is_none_or(|former| former.conn.outbox.is_flushed());
+        let present = |link: &Link| match &link.state {
+            State::Up(conn) => conn.outbox.is_flushed(),
+            _ => true,
+        };
+        self.links.values().all(|link| former(link) && present(link))
+    }
+
     /// Takes back a set-up, unless a byte of it has left.
     pub fn withdraw(&mut self, server: ServerId, call: CallId) -> bool {
         let Some(link) = self.links.get_mut(&server) else { return false };
--- a/agent/src/net/owner.rs
+++ b/agent/src/net/owner.rs
@@ -28,6 +28,9 @@
 /// Callers get this long to close their side once all is answered.
 const CLOSING: Micros = 400_000;
 
+/// Where too few other members can take copies, they are waited for this long before the end.
+const SETTLED_SHORT_WITHIN: Micros = 1_000_000;
+
 /// It serves once each server listed at the start was dialled with some end, and after this in any case.
 const READY_WITHIN: Micros = 1_000_000;
 
@@ -50,6 +53,8 @@
     /// Probes that are out, with their servers and when they left.
     probes: BTreeMap<CallId, (ServerId, Micros)>,
     started: Micros,
+    /// What follows its own end takes so long.
+    farewell: Micros,
     /// When the connections were last polled: what is read now has come since.
     polled: Micros,
     /// What clients that are told were last told of the servers' pressure, and when it is looked at again.
@@ -71,6 +76,7 @@
             unsent: UnsentReleases::default(),
             probes: BTreeMap::new(),
             started,
+            farewell: 0,
             polled: started,
             pressure: 0,
             next_pressure: 0,
@@ -83,6 +89,11 @@
         self.copies = Some(Copies::new(end));
     }
 
+    /// Ends so much sooner where it is told to stop, for what follows [`Owner::run`].
+    pub fn leave_time(&mut self, farewell: Micros) {
+        self.farewell = farewell;
+    }
+
     /// Tells clients whose signalling has a word for it how pressed the servers are: 0 for none, 1 for some,
     /// 2 for half of them and 3 for all.
     fn tell_pressure(&mut self) {
@@ -113,7 +124,8 @@
         }
     }
 
-    pub async fn run(mut self, mut queue: mpsc::Receiver<Input>) {
+    /// Serves until the process is to end; returns by when it has to have ended, where it was told to stop.
+    pub async fn run(mut self, mut queue: mpsc::Receiver<Input>) -> Option<Micros> {
         let mut began = self.shared.clock.now();
         loop {
             self.keep_links();
@@ -163,6 +175,7 @@
             self.core.standing(),
             Breach::ALL.iter().map(|&breach| counts.breaches(breach)).sum::<u64>()
         );
+        self.core.duty().ends_by()
     }
 
     /// Whether it was told to stop and nothing is open any more, or no more time is left for that.
@@ -174,10 +187,12 @@
     }
 
     /// Lets the last answers leave, and ends the callers' connections behind them. What ends calls is taken
-    /// in until each caller has closed its side, too.
+    /// in until each caller has closed its side, too, and until others know what callers have acknowledged.
     async fn flush(&mut self, queue: &mut mpsc::Receiver<Input>) {
-        let ends_by = self.core.duty().ends_by().unwrap_or_default();
-        let closed_by = (self.shared.clock.now() + CLOSING).min(ends_by);
+        let ends_by = self.core.duty().ends_by().unwrap_or_default() - self.farewell;
+        let began = self.shared.clock.now();
+        let closed_by = (began + CLOSING).min(ends_by);
+        let settled_by = (began + SETTLED_SHORT_WITHIN).min(ends_by);
         let callers = |owner: &Self| -> Vec<_> {
             let callers = owner.clients.iter().filter(|(client, _)| !client.is_bound());
             callers.map(|(_, outbox)| outbox.clone()).collect()
@@ -193,7 +208,9 @@
             let open = callers(self).iter().any(|outbox| !outbox.is_closed());
             // A set-up may come where a last answer is slow to leave.
             let late = waits(self) || self.core.unanswered() > 0;
-            if !(late && now < ends_by || open && now < closed_by) {
+            let by = if self.copies.as_ref().is_some_and(Copies::is_short) { settled_by } else { ends_by };
+            let settles = now < by && !self.is_settled();
+            if !(late && now < ends_by || open && now < closed_by || settles) {
                 break;
             }
             sleep(Duration::from_millis(5)).await;
@@ -201,10 +218,16 @@
             self.polled = self.shared.clock.now();
             self.core.wake(self.polled);
             self.keep_links();
+            self.look_at_copies();
             self.carry_out();
         }
     }
 
+    /// Whether other members and servers know what callers have acknowledged, where promises are copied.
+    fn is_settled(&self) -> bool {
+        self.copies.as_ref().is_none_or(|copies| copies.is_settled() && self.links.are_flushed())
+    }
+
     pub fn take(&mut self, input: Input) {
         let now = self.shared.clock.now();
         trace::came(&input);
--- a/agent/src/net/owner/tests.rs
+++ b/agent/src/net/owner/tests.rs
@@ -14,6 +14,7 @@
 mod delivery;
 mod failover;
 mod settle;
+mod shutdown;
 
 const SERVER: ServerId = ServerId(1);
 const CALL: CallId = CallId(7);
--- a/agent/src/serve.rs
+++ b/agent/src/serve.rs
@@ -9,6 +9,7 @@
 use std::sync::Arc;
 
 use steprelay_core::Core;
+use steprelay_decisions::Micros;
 use tokio::net::{TcpListener, TcpStream, UdpSocket};
 use tokio::signal::unix::{signal, Signal, SignalKind};
 use tokio::sync::{mpsc, watch, Semaphore};
@@ -29,6 +30,10 @@
 
 /// Inputs that may wait for the owner.
 const INPUTS: usize = 1024;
+/// The farewell of a member of a fleet has so much of the time in which the process has to end, and this much
+/// where nothing is left: without it others take its calls over only once its lease is over.
+const FAREWELL_RESERVE: Micros = 60_000;
+const FAREWELL_LEAST: Micros = 20_000;
 /// Connections of M3UA clients at once: a peer needs one, and a second while it changes over.
 const MOST_M3UA: usize = 64;
 /// Connections that the core has let go of, and that are not closed yet.
@@ -109,6 +114,7 @@
     let fleet = fleet.map(|named| Fleet::start(named, shared.clone())).transpose()?;
     let fleet = fleet.map(|(fleet, copies)| {
         copies.into_iter().for_each(|end| owner.copy(end));
+        owner.leave_time(FAREWELL_RESERVE);
         fleet
     });
     if let Some(address) = config.ops {
@@ -131,9 +137,10 @@
     }
     let serve = move |stream, number| platform::clients::serve(stream, number, shared.clone());
     spawn_local(accept(listener, config.bounds.connections + CLOSING, accepts, serve));
-    owner.run(queue).await;
+    let ends_by = owner.run(queue).await;
     if let Some(fleet) = fleet {
-        fleet.leave().await;
+        let left = ends_by.map_or(FAREWELL_RESERVE, |at| (at - clock.now()).max(FAREWELL_LEAST));
+        fleet.leave(Duration::from_micros(left as u64)).await;
     }
     Ok(())
 }
