Keep a caller's connection open while an answer to it waits for replicas

Cause: the core counts a call as answered when its server answers. Where replicas have not confirmed it, or the lease is lost, the answer still waits in agent/src/net/copies.rs, and standby and stop closed the connection as quiet.

A connection is not let go of, paused or closed while an answer to it waits; a process that stops ends only when none waits, or lets them out when its time is over. Test: keeps_a_connection_whose_answer_waits_for_replicas, which fails on the code before.

--- a/agent/src/net/copies.rs
+++ b/agent/src/net/copies.rs
@@ -7,7 +7,7 @@
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::sync::Arc;
 
-use steprelay_core::{Effect, Promise};
+use steprelay_core::{ClientId, Effect, Promise};
 use steprelay_decisions::{CallId, Micros};
 use tokio::sync::mpsc;
 
@@ -284,6 +284,24 @@
         late.iter().filter_map(|call| self.answers.remove(call)).map(|waiting| waiting.effect).collect()
     }
 
+    /// Whether an answer to this client waits.
+    pub fn holds_answer_to(&self, client: ClientId) -> bool {
+        let is_for =
+            |waiting: &Waiting| matches!(waiting.effect, Effect::Answer { client: of, .. } if of == client);
+        self.answers.values().any(is_for)
+    }
+
+    pub fn holds_answers(&self) -> bool {
+        !self.answers.is_empty()
+    }
+
+    /// The answers that wait, where no time is left for that: whether others know or not.
+    pub fn take_answers(&mut self) -> Vec<Effect> {
+        let answers = std::mem::take(&mut self.answers);
+        self.uncopied += answers.len() as u64;
+        answers.into_values().map(|waiting| waiting.effect).collect()
+    }
+
     /// Whether others hold all that callers were told of calls that are over, and servers were told that it was
     /// heard: else a successor, or another member whom a server tells, gives a release again.
     pub fn is_settled(&self) -> bool {
--- a/agent/src/net/owner.rs
+++ b/agent/src/net/owner.rs
@@ -182,7 +182,8 @@
     fn is_done(&self, now: Micros) -> bool {
         // What is answered at that time goes out ahead of the ends of connections.
         let is_over = self.core.duty().answers_all_at().is_some_and(|at| now >= at);
-        let is_idle = self.core.connections() == 0 && self.core.duty().may_end(now);
+        let holds_answers = self.copies.as_ref().is_some_and(Copies::holds_answers);
+        let is_idle = self.core.connections() == 0 && self.core.duty().may_end(now) && !holds_answers;
         self.core.unanswered() == 0 && (is_over || is_idle)
     }
 
@@ -197,6 +198,8 @@
             let callers = owner.clients.iter().filter(|(client, _)| !client.is_bound());
             callers.map(|(_, outbox)| outbox.clone()).collect()
         };
+        let held = self.copies.as_mut().map(Copies::take_answers).unwrap_or_default();
+        held.into_iter().for_each(|answer| self.say(began, answer));
         for outbox in callers(self) {
             outbox.post(ToClient::Finish);
         }
@@ -223,6 +226,11 @@
         }
     }
 
+    /// Whether an answer to this client waits until others know of it.
+    fn holds_answer_to(&self, client: ClientId) -> bool {
+        self.copies.as_ref().is_some_and(|copies| copies.holds_answer_to(client))
+    }
+
     /// Whether other members and servers know what callers have acknowledged, where promises are copied.
     fn is_settled(&self) -> bool {
         self.copies.as_ref().is_none_or(|copies| copies.is_settled() && self.links.are_flushed())
@@ -546,6 +554,11 @@
             Effect::Released { client, call, cause } => self.give_release(client, call, cause),
             Effect::WithdrawRelease { client, call } => self.withdraw_release(now, client, call),
             Effect::AskIfSilent { client, call } => self.post(client, ToClient::AskIfSilent(call)),
+            // It is let go of once it has its answer.
+            Effect::LetGo { client, .. } | Effect::Pause { client } if self.holds_answer_to(client) => {}
+            Effect::CloseIfPaused { client, .. } if self.holds_answer_to(client) => {
+                self.post(client, ToClient::Resume);
+            }
             Effect::LetGo { client, inputs } => self.post(client, ToClient::LetGo { inputs }),
             Effect::Pause { client } => self.post(client, ToClient::Pause),
             Effect::CloseIfPaused { client, inputs } => self.post(client, ToClient::CloseIfPaused { inputs }),
--- a/agent/src/net/owner/tests/shutdown.rs
+++ b/agent/src/net/owner/tests/shutdown.rs
@@ -127,3 +127,16 @@
         owner.ends().await;
     });
 }
+
+/// Guards against an answer that waits for replicas and is lost with its caller's connection: nothing is
+/// unanswered for the core by then.
+#[test]
+fn keeps_a_connection_whose_answer_waits_for_replicas() {
+    play(|| async {
+        let mut owner = Stopping::start();
+        owner.goes_on("an answer waits").await;
+        owner.covered(ESTABLISHED).await;
+        let said = owner.said().await;
+        assert!(matches!(said, ToClient::Answer { call: CALL, .. }), "{said:?} ahead of the answer");
+    });
+}
