Give a release of an unknown call when all members have answered, not after 0.4 s

Cause: the wait was judged by time alone. A member confirmed the question from its fleet's thread, before its core had looked at it, so that the confirmation told nothing.

Now a member confirms behind whatever its core has to say of the calls (News::Confirm, Note::Confirmed; no new word between members), and the release is given when all that are alive have confirmed: at once, most often.

That it is given at once when all have answered, and not before, is a test of its own now.

--- a/agent/src/fleet/copies.rs
+++ b/agent/src/fleet/copies.rs
@@ -64,6 +64,7 @@
                 }
                 Some(Note::PassedOn(call)) => self.member.passed_on(now, call.0),
                 Some(Note::Given(call)) => self.member.given(now, call.0),
+                Some(Note::Confirmed(question)) => self.member.confirm(question),
                 Some(Note::Relinquished(calls)) => {
                     self.member.relinquish(now, calls.into_iter().map(|call| call.0).collect());
                 }
--- a/agent/src/net/copies.rs
+++ b/agent/src/net/copies.rs
@@ -7,6 +7,7 @@
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::sync::Arc;
 
+use steprelay_copies::member::Question;
 use steprelay_core::{ClientId, Effect, Promise};
 use steprelay_decisions::{CallId, Micros};
 use tokio::sync::mpsc;
@@ -73,6 +74,8 @@
     set_ups: BTreeMap<CallId, Waiting>,
     /// By the number of the note that has to be covered.
     order: VecDeque<(u64, CallId)>,
+    /// Of other members, to be confirmed once what precedes them was carried out.
+    questions: Vec<Question>,
     /// Releases that came, until the notes of them are numbered; and then by that number.
     came: Vec<(LinkId, CallId)>,
     heard: VecDeque<(u64, LinkId, CallId)>,
@@ -99,6 +102,7 @@
             answers: BTreeMap::new(),
             set_ups: BTreeMap::new(),
             order: VecDeque::new(),
+            questions: Vec::new(),
             came: Vec::new(),
             heard: VecDeque::new(),
             settled_by: 0,
@@ -137,6 +141,19 @@
         let _ = self.end.notes.try_send(Note::Given(call));
     }
 
+    /// Another member waits for what is to be said of calls that it was told of: it goes out behind that.
+    pub fn confirm(&mut self, question: Question) {
+        self.questions.push(question);
+    }
+
+    /// All that precedes the questions of other members was carried out.
+    pub fn answer_questions(&mut self) {
+        for question in self.questions.drain(..) {
+            // Lost where there is no room: it is asked again.
+            let _ = self.end.notes.try_send(Note::Confirmed(question));
+        }
+    }
+
     /// The release of a call leaves. A successor that may have the call by now is not to give it too, also
     /// where it was decided on before the doubt.
     pub fn release_leaves(&mut self, call: CallId) {
--- a/agent/src/net/owner.rs
+++ b/agent/src/net/owner.rs
@@ -477,6 +477,7 @@
         self.do_all();
         if let Some(copies) = &mut self.copies {
             copies.number_releases();
+            copies.answer_questions();
         }
     }
 
--- a/agent/src/net/owner/replication.rs
+++ b/agent/src/net/owner/replication.rs
@@ -129,6 +129,17 @@
                     self.core.over_elsewhere(now, call);
                 }
             }
+            News::Confirm(question) => {
+                if let Some(copies) = &mut self.copies {
+                    copies.confirm(question);
+                }
+            }
+            News::AllTold(calls) => {
+                for call in calls.into_iter().map(copies::call) {
+                    trace::replicated(call, "all members were told, and have answered");
+                    self.core.release_unclaimed(now, call);
+                }
+            }
             News::Given(calls) => {
                 for call in calls.into_iter().map(copies::call) {
                     trace::replicated(call, "over, as the member that told its caller says");
--- a/agent/src/ports/copies.rs
+++ b/agent/src/ports/copies.rs
@@ -4,6 +4,7 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Instant;
 
+use steprelay_copies::member::Question;
 use steprelay_copies::{Call, Record};
 use steprelay_core::{Promise, ReleaseCause};
 use steprelay_decisions::{CallId, ServerId};
@@ -19,6 +20,8 @@
     PassedOn(CallId),
     /// The caller of a call that another member is about to see to was told here that it is over.
     Given(CallId),
+    /// What preceded another member's question was carried out.
+    Confirmed(Question),
     /// Of calls that were given up to a successor: their callers were told nothing, and are to be told here
     /// that they failed, unless the successor has ended them.
     Relinquished(Vec<CallId>),
--- a/copies/src/member.rs
+++ b/copies/src/member.rs
@@ -79,6 +79,10 @@
     Renounce(BTreeSet<Call>),
     /// Others have seen to the end of these calls, or are about to.
     Over(Vec<Call>, Precedence),
+    /// All that precedes this was carried out: to be answered with [`Member::confirm`].
+    Confirm(Question),
+    /// All other members have said of these calls, which they were told are over, what they had to say.
+    AllTold(Vec<Call>),
     /// Others have told the callers of these calls that they are over.
     Given(Vec<Call>),
     /// Of calls that were relinquished: the successor has told their callers nothing, and never will.
@@ -87,6 +91,13 @@
     Short(bool),
 }
 
+/// A word of another member that is confirmed once this member's process has answered it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Question {
+    pub from: String,
+    pub count: u64,
+}
+
 /// Which of two members gives a release that both are about to give.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Precedence {
@@ -295,12 +306,13 @@
                 let precedence =
                     if from < self.name.as_str() { Precedence::Theirs } else { Precedence::Ours };
                 self.news.push_back(News::Over(calls, precedence));
-                self.words.push((from.into(), Word::OverHeard { count }));
+                self.news.push_back(News::Confirm(Question { from: from.into(), count }));
             }
             Word::OverHeard { count } => {
                 for telling in self.tellings.iter_mut().filter(|telling| telling.count == count) {
                     telling.waiting.remove(from);
                 }
+                self.finish_tellings();
             }
             Word::Handover { count, stream, epoch, changes } => {
                 self.take_handover(from, count, stream, epoch, changes);
@@ -543,7 +555,12 @@
             self.tellings.push_back(Telling { count, calls: calls.to_vec(), waiting, said: None, until });
         }
         self.tellings.drain(..self.tellings.len().saturating_sub(MOST_TELLINGS));
-        self.tellings.retain(|telling| !telling.waiting.is_empty() && now < telling.until);
+        self.tellings.retain(|telling| now < telling.until);
+        for telling in &mut self.tellings {
+            // Nobody waits for the word of a member that is lost.
+            telling.waiting.retain(|name| known.others.iter().any(|other| other.name == *name));
+        }
+        self.finish_tellings();
         let due = |said: Option<Millis>| said.is_none_or(|said| now >= said + AGAIN);
         for telling in self.tellings.iter_mut().filter(|telling| due(telling.said)) {
             telling.said = Some(now);
--- a/copies/src/member/handover.rs
+++ b/copies/src/member/handover.rs
@@ -1,7 +1,9 @@
 //! Calls that change hands: what a member that was succeeded tells its successor, and which of them tells
 //! callers that their calls are over.
 
-use super::{Authority, Member, News, ANSWER, MOST_CALLS, MOST_REMEMBERED, REMEMBER, TOLD_FOR};
+use super::{
+    Authority, Member, News, Question, Telling, ANSWER, MOST_CALLS, MOST_REMEMBERED, REMEMBER, TOLD_FOR,
+};
 use crate::words::Word;
 use crate::writer::Writer;
 use crate::{Call, Change, Millis, Record, StreamId};
@@ -41,6 +43,19 @@
         }
     }
 
+    /// The process has carried out all that preceded this question: what it has to say of it is on its way.
+    pub fn confirm(&mut self, question: Question) {
+        self.words.push((question.from, Word::OverHeard { count: question.count }));
+    }
+
+    /// Tells the process of calls whose end all others have confirmed.
+    pub(super) fn finish_tellings(&mut self) {
+        let all = std::mem::take(&mut self.tellings).into_iter();
+        let (told, open): (Vec<Telling>, Vec<Telling>) = all.partition(|telling| telling.waiting.is_empty());
+        self.tellings = open.into();
+        self.news.extend(told.into_iter().map(|telling| News::AllTold(telling.calls)));
+    }
+
     /// The process has told the caller of a call that it is over, which another member is about to do: it is
     /// told so once, since it waits for that for less time than a second word would take.
     pub fn given(&mut self, now: Millis, call: Call) {
--- a/core/src/tests.rs
+++ b/core/src/tests.rs
@@ -712,7 +712,7 @@
         !ended.contains(&released(6, ReleaseCause::NORMAL)[0]),
         "whoever has it may have told its caller"
     );
-    let passed: Vec<Effect> = stand.pass(400 * MS).into_iter().map(|(_, effect)| effect).collect();
+    let passed: Vec<Effect> = stand.pass(1_000 * MS).into_iter().map(|(_, effect)| effect).collect();
     assert!(passed.contains(&released(6, ReleaseCause::NORMAL)[0]), "{passed:?}");
     assert_eq!(stand.breaches(), 0);
 }
--- a/core/src/tests/unclaimed.rs
+++ b/core/src/tests/unclaimed.rs
@@ -49,6 +49,18 @@
     }
 }
 
+/// Guards against a second release by a member whose own clock ran out while an answer was on its way: it is
+/// given when all have answered, and at once then.
+#[test]
+fn gives_release_of_unknown_call_as_soon_as_all_members_have_answered() {
+    let mut stand = other_member();
+    stand.end(ONE, 5, RELEASE);
+    assert_eq!(told(&stand.pass(400 * MS)), 0, "an answer may be on its way");
+    stand.core.release_unclaimed(stand.now, CALL);
+    assert_eq!(stand.effects().iter().filter(|effect| **effect == released(5, RELEASE)[0]).count(), 1);
+    assert_eq!(told(&stand.pass(RELEASED_WITHIN)), 0, "once");
+}
+
 /// Guards against the other half: the member that has the call says so, or leaves it to the one that asks.
 #[test]
 fn claims_a_call_whose_caller_it_tells_and_drops_one_that_it_has_not_told() {
--- a/core/src/unclaimed.rs
+++ b/core/src/unclaimed.rs
@@ -3,8 +3,8 @@
 //! A server says a release again on the next open connection, whoever's it is, when the connection that took
 //! it ends unconfirmed. The call may be another member's, who has given the release or is about to. So all
 //! members are told first that it will be given here: one that has the call drops it, and one that has told
-//! its caller already says so. Nobody says anything: the release is given. Where
-//! two members were told of it, the one whose name comes first gives it.
+//! its caller already says so. Once all have answered, or their time is over, and none has said so, the release
+//! is given. Where two members were told of it, the one whose name comes first gives it.
 
 use std::cmp::Reverse;
 use std::collections::BTreeMap;
@@ -14,9 +14,9 @@
 use super::book::Over;
 use super::{Core, Effect, Promise, ReleaseCause, Wake};
 
-/// Members get this long to say that they have given a release. It leaves over half of the second in which a
-/// caller is to have it.
-const CLAIM_WITHIN: Micros = 400_000;
+/// Members get this long to say that they have given a release, where not all answer sooner. It leaves a
+/// fifth of the second in which a caller is to have it.
+const CLAIM_WITHIN: Micros = 800_000;
 
 #[derive(Clone, Copy, Debug)]
 struct Unclaimed {
@@ -59,8 +59,8 @@
         self.wakes.push(Reverse((now + CLAIM_WITHIN, Wake::Unclaimed(call))));
     }
 
-    /// Nobody has claimed it.
-    pub(super) fn release_unclaimed(&mut self, now: Micros, call: CallId) {
+    /// Nobody has claimed it: all members have answered, or their time is over.
+    pub fn release_unclaimed(&mut self, now: Micros, call: CallId) {
         if let Some(Unclaimed { server, cause }) = self.unclaimed.0.remove(&call) {
             self.release_to(now, None, server, call, cause);
         }
