Give the releases that a lost member was about to give

Cause: "over" is said by a member that is about to give a release, and was remembered like one that has. So the successor of n2's stream left the pending release out (Member::take_over), the core of any other took no notice where a server said it again (book.over), and a stopping process did not wait for such releases.

Now a member remembers who announced the end of a call, in which start of it, and who has told it (EndedBy). A pending release of a stream is left out only while the member that announced it is there. The core takes up a release that was left to another, asking the others first, and answers for what it took over. A process ends when no release waits for claims.

Tests in copies/tests/handover.rs and core/src/tests/unclaimed.rs; each fails without its half of the fix.

--- a/agent/src/net/owner.rs
+++ b/agent/src/net/owner.rs
@@ -233,7 +233,9 @@
 
     /// Whether other members and servers know what callers have acknowledged, where promises are copied.
     fn is_settled(&self) -> bool {
-        self.copies.as_ref().is_none_or(|copies| copies.is_settled() && self.links.are_flushed())
+        let settled =
+            |copies: &Copies| copies.is_settled() && self.core.unclaimed() == 0 && self.links.are_flushed();
+        self.copies.as_ref().is_none_or(settled)
     }
 
     pub fn take(&mut self, input: Input) {
--- a/copies/src/member.rs
+++ b/copies/src/member.rs
@@ -8,7 +8,7 @@
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
-use handover::{Ended, Handing, Successor};
+use handover::{Ended, EndedBy, Handing, Successor};
 
 use crate::holder::Holder;
 use crate::placement::{holders, Place};
@@ -162,8 +162,9 @@
     successor: Option<Successor>,
     settling: BTreeMap<StreamId, Millis>,
     settled: Vec<StreamId>,
-    /// Members that were alive at the last tick.
+    /// Members that were alive at the last tick, and the starts of their programs.
     others: Vec<String>,
+    boots: BTreeMap<String, u64>,
     short: bool,
     count: u64,
     figures: Figures,
@@ -199,6 +200,7 @@
             settling: BTreeMap::new(),
             settled: Vec::new(),
             others: Vec::new(),
+            boots: BTreeMap::new(),
             short: limits.needed > 0,
             count: 0,
             figures: Figures::default(),
@@ -296,13 +298,16 @@
                 self.takeovers.values_mut().for_each(|takeover| takeover.received(from, word.clone()));
             }
             Word::Over { count: ANSWER, calls } => {
-                let ended = Ended { at: now, here: false };
-                calls.iter().for_each(|call| self.remember(*call, ended));
+                for call in &calls {
+                    self.remember(*call, Ended { at: now, by: EndedBy::Told });
+                }
                 self.news.push_back(News::Given(calls));
             }
             Word::Over { count, calls } => {
-                let ended = Ended { at: now, here: false };
-                calls.iter().for_each(|call| self.remember(*call, ended));
+                for call in &calls {
+                    let by = EndedBy::Announced { name: from.into(), boot };
+                    self.remember(*call, Ended { at: now, by });
+                }
                 let precedence =
                     if from < self.name.as_str() { Precedence::Theirs } else { Precedence::Ours };
                 self.news.push_back(News::Over(calls, precedence));
@@ -377,6 +382,7 @@
     pub fn tick(&mut self, now: Millis, known: &Known) {
         self.settled.clone_from(&known.settled);
         self.others = known.others.iter().map(|other| other.name.clone()).collect();
+        self.boots = known.others.iter().map(|other| (other.name.clone(), other.boot)).collect();
         for stream in &known.settled {
             self.holder.over(*stream);
             self.settling.remove(stream);
@@ -492,7 +498,7 @@
             let Found { number, records, .. } = found;
             let mut writer = Writer::resume(stream, epoch, self.limits, number, records.clone());
             let (over, adopted): (Vec<_>, Vec<_>) =
-                records.into_iter().partition(|(call, _)| self.overs.contains_key(call));
+                records.into_iter().partition(|(call, record)| self.is_over(*call, Some(*record)));
             for (call, _) in over {
                 writer.note(call, None);
             }
--- a/copies/src/member/handover.rs
+++ b/copies/src/member/handover.rs
@@ -27,18 +27,29 @@
     pub(super) epoch: u64,
 }
 
-/// The end of a call that a member was told of, or has itself told the caller of.
-#[derive(Clone, Copy, Debug)]
+/// Who sees to it that a caller hears of the end of its call.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(super) enum EndedBy {
+    /// This member's process: it has told the caller, or is about to.
+    Here,
+    /// Another member, in this start of it, was about to.
+    Announced { name: String, boot: u64 },
+    /// Another member has told the caller.
+    Told,
+}
+
+/// The end of a call.
+#[derive(Clone, Debug)]
 pub(super) struct Ended {
     pub(super) at: Millis,
-    pub(super) here: bool,
+    pub(super) by: EndedBy,
 }
 
 impl Member {
     /// The process has given the release of a call that it did not know: others must hear that it is over.
     pub fn passed_on(&mut self, now: Millis, call: Call) {
         if !self.ended_here(call) {
-            self.remember(call, Ended { at: now, here: true });
+            self.remember(call, Ended { at: now, by: EndedBy::Here });
             self.passed_on.push(call);
         }
     }
@@ -59,7 +70,7 @@
     /// The process has told the caller of a call that it is over, which another member is about to do: it is
     /// told so once, since it waits for that for less time than a second word would take.
     pub fn given(&mut self, now: Millis, call: Call) {
-        self.remember(call, Ended { at: now, here: true });
+        self.remember(call, Ended { at: now, by: EndedBy::Here });
         for to in &self.others {
             let word = Word::Over { count: ANSWER, calls: vec![call] };
             self.words.push((to.clone(), word));
@@ -85,15 +96,30 @@
     }
 
     pub(super) fn ended_here(&self, call: Call) -> bool {
-        self.overs.get(&call).is_some_and(|ended| ended.here)
+        self.overs.get(&call).is_some_and(|ended| ended.by == EndedBy::Here)
+    }
+
+    /// Whether the end of a call with this record is another's to tell, or was told. What a member that is
+    /// lost was about to tell, and had not told by its own record, it did not tell.
+    pub(super) fn is_over(&self, call: Call, record: Option<Record>) -> bool {
+        let Some(ended) = self.overs.get(&call) else { return false };
+        let is_pending = matches!(record, Some(Record::Owed { .. }));
+        match &ended.by {
+            EndedBy::Announced { name, boot } => !is_pending || self.boots.get(name) == Some(boot),
+            EndedBy::Here | EndedBy::Told => true,
+        }
     }
 
     pub(super) fn remember(&mut self, call: Call, ended: Ended) {
-        let Ended { at: now, here } = ended;
-        let before = self.overs.get(&call).map(|ended| ended.here);
-        self.overs.insert(call, Ended { at: now, here: here || before == Some(true) });
-        if before.is_none() {
-            self.over_order.push_back(call);
+        let now = ended.at;
+        match self.overs.get_mut(&call) {
+            None => {
+                self.overs.insert(call, ended);
+                self.over_order.push_back(call);
+            }
+            Some(before) if before.by == EndedBy::Here => before.at = now,
+            Some(before) if before.by == EndedBy::Told && ended.by != EndedBy::Here => before.at = now,
+            Some(before) => *before = ended,
         }
         while let Some(oldest) = self.over_order.front().copied() {
             let old = self.overs.get(&oldest).is_none_or(|ended| now > ended.at + REMEMBER);
@@ -125,7 +151,7 @@
         if !calls.is_empty() {
             self.words.push((from.into(), Word::Over { count: ANSWER, calls }));
         }
-        let calls = changes.into_iter().filter(|(call, _)| !self.overs.contains_key(call));
+        let calls = changes.into_iter().filter(|(call, record)| !self.is_over(*call, *record));
         self.news.push_back(News::Handed(calls.collect()));
         self.words.push((from.into(), Word::HandedOver { count }));
     }
--- a/copies/tests/handover.rs
+++ b/copies/tests/handover.rs
@@ -195,3 +195,19 @@
     let [woken, _] = pair.live(10);
     assert!(relinquished(&woken) && !woken.contains(&News::Given(vec![CALL])), "{woken:?}");
 }
+
+/// Guards against a release that nobody gives: its member had told the others that it is about to, and was
+/// lost before that. While that member is there, it is left to it.
+#[test]
+fn takes_over_a_pending_release_that_its_lost_member_had_announced() {
+    for lost in [false, true] {
+        let mut pair = Pair::with_established_call();
+        let owed = Record::Owed { server: 1, cause: 16 };
+        pair.members[0].passed_on(pair.now, CALL);
+        pair.members[0].note(CALL, Some(owed));
+        pair.live(5);
+        pair.taken_for_lost = lost;
+        let [_, successor] = pair.succeed();
+        assert_eq!(successor.contains(&News::Adopt(vec![(CALL, owed)])), lost, "{successor:?}");
+    }
+}
--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -295,6 +295,11 @@
         self.relay.standing()
     }
 
+    /// Releases of calls that are not known here, of which other members are asked.
+    pub fn unclaimed(&self) -> usize {
+        self.unclaimed.len()
+    }
+
     pub fn counts(&self) -> &Counts {
         &self.book.counts
     }
--- a/core/src/promise.rs
+++ b/core/src/promise.rs
@@ -107,6 +107,7 @@
 
     /// Gives the release of a call that another call agent had.
     fn release_adopted(&mut self, now: Micros, server: ServerId, call: CallId, cause: ReleaseCause) {
+        self.book.note_over(call, Over::Answered);
         self.pass_on_to_members(call);
         self.release_to(now, None, server, call, cause);
     }
@@ -120,7 +121,9 @@
 
     /// Takes over what another call agent had promised, which is lost.
     pub fn adopt(&mut self, now: Micros, call: CallId, promise: Promise) {
-        if self.is_known(call) {
+        // What another member was about to tell the caller, it has not told by its own last word.
+        let is_untold = matches!(promise, Promise::Owed(..)) && self.is_left_to_another(call);
+        if self.is_known(call) && !is_untold {
             return self.promise(call, self.promise_of(call), None);
         }
         match promise {
@@ -214,6 +217,11 @@
         self.promises.told = told;
     }
 
+    /// Whether nothing is known of a call but that another member sees to its end.
+    pub(super) fn is_left_to_another(&self, call: CallId) -> bool {
+        self.book.over(call) == Some(Over::Elsewhere) && self.promise_of(call).is_none()
+    }
+
     fn is_known(&self, call: CallId) -> bool {
         self.pending.contains_key(&call)
             || self.relay.stands(call).is_some()
--- a/core/src/relay.rs
+++ b/core/src/relay.rs
@@ -10,6 +10,7 @@
 
 use super::book::Over;
 use super::send::Attempt;
+use super::unclaimed::LeftTo;
 use super::{BoundCall, ClientId, Core, Effect, Peer, Promise, ReleaseCause, Verdict};
 
 #[derive(Clone, Copy, Debug)]
@@ -193,15 +194,16 @@
         self.report(now, server, report);
         if !self.pending.contains_key(&call)
             && self.relay.stands(call).is_none()
-            && self.book.over(call).is_none()
+            && (self.book.over(call).is_none() || self.is_left_to_another(call))
         {
             // It stood before this process started; its caller still waits for the release.
+            let left = if self.is_left_to_another(call) { LeftTo::Another } else { LeftTo::Nobody };
             self.book.counts.released_unknown += 1;
             self.book.note_over(call, Over::Answered);
             let client = BoundCall::of(call).map(BoundCall::client_id);
             if client.is_none() && self.promises_are_told() {
                 self.pass_on_to_members(call);
-                return self.hold_unclaimed(now, server, call, cause);
+                return self.hold_unclaimed(now, server, call, cause, left);
             }
             self.release_to(now, client, server, call, cause);
         }
--- a/core/src/tests/unclaimed.rs
+++ b/core/src/tests/unclaimed.rs
@@ -1,8 +1,9 @@
 use super::*;
 
 const RELEASE: ReleaseCause = ReleaseCause::NORMAL;
-/// A release reaches its caller within this of its server's word.
+/// A release reaches its caller within this of its server's word, and within that where nobody could tell it.
 const RELEASED_WITHIN: Micros = 1_000 * MS;
+const RELEASED_WITHIN_ELSE: Micros = 8_000 * MS;
 
 fn told(effects: &[(Micros, Effect)]) -> usize {
     effects.iter().filter(|(_, effect)| *effect == released(5, RELEASE)[0]).count()
@@ -110,3 +111,34 @@
         assert_eq!(stand.breaches(), 0, "{case}");
     }
 }
+
+/// Guards against a release that nobody gives: the member that was about to give it is lost, and it is said
+/// here again, by its server or by what that member had promised.
+#[test]
+fn gives_a_release_that_was_left_to_a_member_that_is_lost() {
+    type Comes = fn(&mut Stand) -> Vec<Effect>;
+    let cases: [(&str, Comes); 2] = [
+        ("its server says it again", |stand| stand.end(ONE, 5, RELEASE)),
+        ("the member is succeeded here", |stand| {
+            stand.core.adopt(stand.now, CALL, Promise::Owed(ONE, RELEASE));
+            stand.effects()
+        }),
+    ];
+    for (case, comes) in cases {
+        let mut stand = with_promises();
+        stand.offer(5, RELEASED_WITHIN);
+        stand.answer(ONE, 5);
+        stand.core.over_elsewhere(stand.now, CALL);
+        stand.effects();
+        let mut effects: Vec<_> = comes(&mut stand).into_iter().map(|effect| (stand.now, effect)).collect();
+        assert!(effects.iter().any(|(_, effect)| *effect == Effect::PassedOn { call: CALL }), "{case}");
+        effects.extend(stand.pass(RELEASED_WITHIN_ELSE));
+        assert_eq!(told(&effects), 1, "{case}");
+        stand.core.release_heard(stand.now, CALLER, CALL);
+        stand.core.over_elsewhere(stand.now, CALL);
+        assert!(
+            stand.core.take_effects().contains(&Effect::Given { call: CALL }),
+            "{case}: it was given here"
+        );
+    }
+}
--- a/core/src/unclaimed.rs
+++ b/core/src/unclaimed.rs
@@ -17,6 +17,9 @@
 /// Members get this long to say that they have given a release, where not all answer sooner. It leaves a
 /// fifth of the second in which a caller is to have it.
 const CLAIM_WITHIN: Micros = 800_000;
+/// A release that another member had said it will give is given here when not all members have answered for
+/// so long: within the 8 s in which a caller that can't be told sooner is told.
+const LEFT_CLAIM_WITHIN: Micros = 4_000_000;
 
 #[derive(Clone, Copy, Debug)]
 struct Unclaimed {
@@ -24,10 +27,21 @@
     cause: ReleaseCause,
 }
 
+/// Whether a member has said before that it will give a release.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum LeftTo {
+    Nobody,
+    Another,
+}
+
 #[derive(Default)]
 pub(super) struct UnclaimedReleases(BTreeMap<CallId, Unclaimed>);
 
 impl UnclaimedReleases {
+    pub fn len(&self) -> usize {
+        self.0.len()
+    }
+
     pub fn contains(&self, call: CallId) -> bool {
         self.0.contains_key(&call)
     }
@@ -53,10 +67,15 @@
         server: ServerId,
         call: CallId,
         cause: ReleaseCause,
+        left: LeftTo,
     ) {
+        let within = match left {
+            LeftTo::Nobody => CLAIM_WITHIN,
+            LeftTo::Another => LEFT_CLAIM_WITHIN,
+        };
         self.promise(call, Some(Promise::Owed(server, cause)), None);
         self.unclaimed.0.insert(call, Unclaimed { server, cause });
-        self.wakes.push(Reverse((now + CLAIM_WITHIN, Wake::Unclaimed(call))));
+        self.wakes.push(Reverse((now + within, Wake::Unclaimed(call))));
     }
 
     /// Nobody has claimed it: all members have answered, or their time is over.
