--- a/agent/src/fleet/copies.rs
+++ b/agent/src/fleet/copies.rs
@@ -64,6 +64,7 @@
                 }
                 Some(Note::PassedOn(call)) => self.member.passed_on(now, call.0),
                 Some(Note::Given(call)) => self.member.given(now, call.0),
+                Some(Note::Confirmed(question)) => self.member.confirm(question),
                 Some(Note::Relinquished(calls)) => {
                     self.member.relinquish(now, calls.into_iter().map(|call| call.0).collect());
                 }
@@ -74,6 +75,13 @@
         self.urgent
     }
 
+    /// Takes the notes that wait.
+    pub fn note_waiting(&mut self, now: Millis) {
+        if let Ok(first) = self.notes.try_recv() {
+            self.note(now, first);
+        }
+    }
+
     pub fn received(&mut self, now: Millis, from: &swim::Member, bytes: &[u8]) {
         // Spoilt words settle nothing.
         if let Ok(word) = postcard::from_bytes::<Word>(bytes) {
--- a/agent/src/net/owner.rs
+++ b/agent/src/net/owner.rs
@@ -9,9 +9,11 @@
 use tokio::sync::mpsc;
 use tokio::time::{sleep, sleep_until, Duration};
 
+mod delivery;
 mod replication;
 mod settle;
 
+use delivery::UnsentReleases;
 use settle::Deferred;
 
 use super::copies::{Copies, CopiesEnd};
@@ -26,6 +28,9 @@
 /// Callers get this long to close their side once all is answered.
 const CLOSING: Micros = 400_000;
 
+/// Where too few other members can take copies, they are waited for this long before the end.
+const SETTLED_SHORT_WITHIN: Micros = 1_000_000;
+
 /// It serves once each server listed at the start was dialled with some end, and after this in any case.
 const READY_WITHIN: Micros = 1_000_000;
 
@@ -44,9 +49,12 @@
     /// Where what is promised is copied to others.
     copies: Option<Copies>,
     deferred: Deferred,
+    unsent: UnsentReleases,
     /// Probes that are out, with their servers and when they left.
     probes: BTreeMap<CallId, (ServerId, Micros)>,
     started: Micros,
+    /// What follows its own end takes so long.
+    farewell: Micros,
     /// When the connections were last polled: what is read now has come since.
     polled: Micros,
     /// What clients that are told were last told of the servers' pressure, and when it is looked at again.
@@ -65,8 +73,10 @@
             links: Links::default(),
             copies: None,
             deferred: Deferred::default(),
+            unsent: UnsentReleases::default(),
             probes: BTreeMap::new(),
             started,
+            farewell: 0,
             polled: started,
             pressure: 0,
             next_pressure: 0,
@@ -79,6 +89,11 @@
         self.copies = Some(Copies::new(end));
     }
 
+    /// Ends so much sooner where it is told to stop, for what follows [`Owner::run`].
+    pub fn leave_time(&mut self, farewell: Micros) {
+        self.farewell = farewell;
+    }
+
     /// Tells clients whose signalling has a word for it how pressed the servers are: 0 for none, 1 for some,
     /// 2 for half of them and 3 for all.
     fn tell_pressure(&mut self) {
@@ -109,7 +124,8 @@
         }
     }
 
-    pub async fn run(mut self, mut queue: mpsc::Receiver<Input>) {
+    /// Serves until the process is to end; returns by when it has to have ended, where it was told to stop.
+    pub async fn run(mut self, mut queue: mpsc::Receiver<Input>) -> Option<Micros> {
         let mut began = self.shared.clock.now();
         loop {
             self.keep_links();
@@ -159,25 +175,31 @@
             self.core.standing(),
             Breach::ALL.iter().map(|&breach| counts.breaches(breach)).sum::<u64>()
         );
+        self.core.duty().ends_by()
     }
 
     /// Whether it was told to stop and nothing is open any more, or no more time is left for that.
     fn is_done(&self, now: Micros) -> bool {
         // What is answered at that time goes out ahead of the ends of connections.
         let is_over = self.core.duty().answers_all_at().is_some_and(|at| now >= at);
-        let is_idle = self.core.connections() == 0 && self.core.duty().may_end(now);
+        let holds_answers = self.copies.as_ref().is_some_and(Copies::holds_answers);
+        let is_idle = self.core.connections() == 0 && self.core.duty().may_end(now) && !holds_answers;
         self.core.unanswered() == 0 && (is_over || is_idle)
     }
 
     /// Lets the last answers leave, and ends the callers' connections behind them. What ends calls is taken
-    /// in until each caller has closed its side, too.
+    /// in until each caller has closed its side, too, and until others know what callers have acknowledged.
     async fn flush(&mut self, queue: &mut mpsc::Receiver<Input>) {
-        let ends_by = self.core.duty().ends_by().unwrap_or_default();
-        let closed_by = (self.shared.clock.now() + CLOSING).min(ends_by);
+        let ends_by = self.core.duty().ends_by().unwrap_or_default() - self.farewell;
+        let began = self.shared.clock.now();
+        let closed_by = (began + CLOSING).min(ends_by);
+        let settled_by = (began + SETTLED_SHORT_WITHIN).min(ends_by);
         let callers = |owner: &Self| -> Vec<_> {
             let callers = owner.clients.iter().filter(|(client, _)| !client.is_bound());
             callers.map(|(_, outbox)| outbox.clone()).collect()
         };
+        let held = self.copies.as_mut().map(Copies::take_answers).unwrap_or_default();
+        held.into_iter().for_each(|answer| self.say(began, answer));
         for outbox in callers(self) {
             outbox.post(ToClient::Finish);
         }
@@ -189,7 +211,9 @@
             let open = callers(self).iter().any(|outbox| !outbox.is_closed());
             // A set-up may come where a last answer is slow to leave.
             let late = waits(self) || self.core.unanswered() > 0;
-            if !(late && now < ends_by || open && now < closed_by) {
+            let by = if self.copies.as_ref().is_some_and(Copies::is_short) { settled_by } else { ends_by };
+            let settles = now < by && !self.is_settled();
+            if !(late && now < ends_by || open && now < closed_by || settles) {
                 break;
             }
             sleep(Duration::from_millis(5)).await;
@@ -197,10 +221,21 @@
             self.polled = self.shared.clock.now();
             self.core.wake(self.polled);
             self.keep_links();
+            self.look_at_copies();
             self.carry_out();
         }
     }
 
+    /// Whether an answer to this client waits until others know of it.
+    fn holds_answer_to(&self, client: ClientId) -> bool {
+        self.copies.as_ref().is_some_and(|copies| copies.holds_answer_to(client))
+    }
+
+    /// Whether other members and servers know what callers have acknowledged, where promises are copied.
+    fn is_settled(&self) -> bool {
+        self.copies.as_ref().is_none_or(|copies| copies.is_settled() && self.links.are_flushed())
+    }
+
     pub fn take(&mut self, input: Input) {
         let now = self.shared.clock.now();
         trace::came(&input);
@@ -214,6 +249,7 @@
             }
             Input::ClientClosed { client } => {
                 self.clients.remove(&client);
+                self.unsent.forget(client);
                 self.core.client_closed(now, client);
             }
             Input::ClientAway { client, away } => self.core.client_away(client, away),
@@ -231,6 +267,8 @@
                 self.tell(client, if passes { ToClient::Passed(call) } else { ToClient::NotPassed(call) });
             }
             Input::ClientPaused { client, inputs } => self.core.client_paused(now, client, inputs),
+            Input::ReleaseSent { client, call, at } => self.release_sent(at, client, call),
+            Input::ClientSilent { client, call } => self.core.client_silent(now, client, call),
             Input::ReleaseHeard { client, call } => self.core.release_heard(now, client, call),
             Input::LinkUp { link, outbox } if self.links.is_current(link) => {
                 trace::link(link, "is up");
@@ -439,6 +477,7 @@
         self.do_all();
         if let Some(copies) = &mut self.copies {
             copies.number_releases();
+            copies.answer_questions();
         }
     }
 
@@ -513,7 +552,14 @@
                 self.tell(client, ToClient::Answer { call, description })
             }
             Effect::Final { client, call, verdict } => self.tell(client, ToClient::Final { call, verdict }),
-            Effect::Released { client, call, cause } => self.tell(client, ToClient::Released { call, cause }),
+            Effect::Released { client, call, cause } => self.give_release(client, call, cause),
+            Effect::WithdrawRelease { client, call } => self.withdraw_release(now, client, call),
+            Effect::AskIfSilent { client, call } => self.post(client, ToClient::AskIfSilent(call)),
+            // It is let go of once it has its answer.
+            Effect::LetGo { client, .. } | Effect::Pause { client } if self.holds_answer_to(client) => {}
+            Effect::CloseIfPaused { client, .. } if self.holds_answer_to(client) => {
+                self.post(client, ToClient::Resume);
+            }
             Effect::LetGo { client, inputs } => self.post(client, ToClient::LetGo { inputs }),
             Effect::Pause { client } => self.post(client, ToClient::Pause),
             Effect::CloseIfPaused { client, inputs } => self.post(client, ToClient::CloseIfPaused { inputs }),
