Excuse a second end only by an unplanned kill of the member that gave the first

The rig's checker excused a call that was ended twice where any machine was killed within 500 ms of the first end. It took the end of a process that had been told to stop (SIGTERM) for a kill, excused for the kills of members that had given nothing, and excused any number of ends. A machine that stopped in order was also excused from answering what it had taken.

The history now tells a stop in order (`Terminated`, `Stopped` with the exit code) from a kill. A second end is excused where the member that gave the first one was killed without a plan within 500 ms after it and ahead of the second, once for each such kill; the same member gives the second only after it was started anew. At a machine that stops in order every set-up has its answer and every established call its release, with and without [copies]; its open calls count in `taken` as before. A stop with another exit code than 0 is a broken rule. What is excused is kept in `Findings::again`, each with its members and times, and printed by the rig.

The former unit test's second end after a kill was given by the killed member itself, without a start: that is two ends of one member now, and the test has the second given by another member.

--- a/rig/src/checker.rs
+++ b/rig/src/checker.rs
@@ -30,10 +30,11 @@
     pub stood: usize,
     /// Answered with a refusal or an error.
     pub refused: usize,
-    /// Releases that a caller was given again, since a machine was killed right after it had given them:
-    /// nobody could know that they were heard.
-    pub again: usize,
-    /// Calls that were open at a machine when it was killed: no answer and no release is owed for them.
+    /// Second ends that are excused, in words: the member that gave the first one was killed right after it,
+    /// and nobody could know whether it was heard.
+    pub again: Vec<String>,
+    /// Calls that were open at a machine when it was killed or had stopped in order. After a kill no answer
+    /// and, but where promises are copied, no release is owed for them; after a stop both are.
     pub taken: usize,
     /// The most machines that were not serving at once, and the fewest that served.
     pub most_away: usize,
@@ -42,21 +43,60 @@
     pub left: Vec<String>,
 }
 
-/// A caller's confirmation has reached its machine, and others, within this.
+/// A caller's confirmation of an end has reached its member, and the replicas, within this.
 const CONFIRMED_MS: u64 = 500;
 
 #[derive(Default)]
-struct Call {
-    machine: String,
+struct Call<'a> {
+    machine: &'a str,
     offered: u64,
     answered: Option<u64>,
-    ended: Option<u64>,
     closed: Option<u64>,
     released: Option<u64>,
     asked: bool,
     cut: bool,
     answers: u32,
-    ends: u32,
+    /// When it was ended, and by which member.
+    ends: Vec<(u64, &'a str)>,
+}
+
+impl Call<'_> {
+    fn ended(&self) -> Option<u64> {
+        self.ends.first().map(|(at, _)| *at)
+    }
+
+    /// Whether it was open at a moment, or so soon before or after that it may have been.
+    fn is_open_at(&self, moment: u64) -> bool {
+        let unheard = self.closed.filter(|_| self.answered.is_none());
+        let over = self.ended().or(unheard).unwrap_or(u64::MAX);
+        self.offered <= moment + 100 && over.saturating_add(100) >= moment
+    }
+}
+
+/// What was done to machines, each time.
+#[derive(Default)]
+struct Machines<'a> {
+    started: BTreeMap<&'a str, Vec<u64>>,
+    /// Without a plan.
+    killed: BTreeMap<&'a str, Vec<u64>>,
+    /// In order, when the process had ended.
+    stopped: BTreeMap<&'a str, Vec<u64>>,
+    /// From when until when.
+    stalled: BTreeMap<&'a str, Vec<(u64, u64)>>,
+}
+
+impl Machines<'_> {
+    /// The kill that excuses that an end was followed by another one: of the member that gave the first, in
+    /// the time in which its caller's confirmation was on its way, and ahead of the second. The same member
+    /// gives that only after it was started anew.
+    fn excuse(&self, first: (u64, &str), second: (u64, &str)) -> Option<u64> {
+        let on_its_way = first.0..=first.0 + CONFIRMED_MS;
+        let kills = self.killed.get(first.1)?.iter().copied();
+        let mut kills = kills.filter(|at| on_its_way.contains(at) && *at <= second.0);
+        let starts = self.started.get(first.1).map_or(&[][..], Vec::as_slice);
+        let back = |kill: u64| starts.iter().any(|at| (kill..=second.0).contains(at));
+        kills.find(|kill| first.1 != second.1 || back(*kill))
+    }
 }
 
 pub fn judge(events: &[Event], rules: &Rules) -> Findings {
@@ -77,97 +117,104 @@
 /// Each call gets one answer, and each that stood one release; but what was at a machine that was killed.
 fn calls(events: &[Event], rules: &Rules, findings: &mut Findings) {
     let mut calls: BTreeMap<u64, Call> = BTreeMap::new();
-    // When a machine was killed, and from when until when it was stalled.
-    let mut killed: BTreeMap<&str, Vec<u64>> = BTreeMap::new();
-    let mut stalled: BTreeMap<&str, Vec<(u64, u64)>> = BTreeMap::new();
+    let mut machines = Machines::default();
     let end = events.last().map_or(0, |event| event.at);
     for Event { at, what } in events {
         match what {
             What::Offered { call, machine } => {
                 let call = calls.entry(*call).or_default();
-                (call.machine, call.offered) = (machine.clone(), *at);
+                (call.machine, call.offered) = (machine, *at);
             }
             What::Answered { call } => {
                 let call = calls.entry(*call).or_default();
                 call.answered.get_or_insert(*at);
                 call.answers += 1;
             }
-            What::Ended { call, .. } => {
-                let call = calls.entry(*call).or_default();
-                call.ended.get_or_insert(*at);
-                call.ends += 1;
-            }
+            What::Ended { call, machine, .. } => calls.entry(*call).or_default().ends.push((*at, machine)),
             What::Closed { call } => calls.entry(*call).or_default().closed = Some(*at),
             What::Asked { call, .. } => calls.entry(*call).or_default().asked = true,
             What::Cut { call } => calls.entry(*call).or_default().cut = true,
             What::Released { call } => calls.entry(*call).or_default().released = Some(*at),
-            What::Killed { machine } => killed.entry(machine).or_default().push(*at),
-            What::Stalled { machine } => stalled.entry(machine).or_default().push((*at, end)),
+            What::Started { machine } => machines.started.entry(machine).or_default().push(*at),
+            What::Killed { machine } => machines.killed.entry(machine).or_default().push(*at),
+            What::Stopped { machine, code } => {
+                machines.stopped.entry(machine).or_default().push(*at);
+                if *code != 0 {
+                    findings.broken.push(format!("at {at} {machine} stopped with code {code}"));
+                }
+            }
+            What::Stalled { machine } => machines.stalled.entry(machine).or_default().push((*at, end)),
             What::Continued { machine } => {
-                stalled.entry(machine).or_default().last_mut().into_iter().for_each(|stall| stall.1 = *at);
+                let stalls = machines.stalled.entry(machine).or_default();
+                stalls.last_mut().into_iter().for_each(|stall| stall.1 = *at);
             }
             _ => {}
         }
     }
     for (id, call) in &calls {
-        findings.offered += 1;
-        let over = call.ended.unwrap_or(end);
-        let during = |at: &u64| call.offered <= at + 100 && over + 100 >= *at;
-        let taken = killed.get(call.machine.as_str()).is_some_and(|times| times.iter().any(during));
-        let of_kill = |call: &Call| {
-            killed.get(call.machine.as_str()).and_then(|times| times.iter().copied().find(|at| during(at)))
-        };
-        let stalls = stalled.get(call.machine.as_str()).map_or(&[][..], Vec::as_slice);
-        findings.taken += usize::from(taken);
-        findings.stood += usize::from(call.answered.is_some());
-        findings.refused += usize::from(call.answered.is_none() && call.ended.is_some());
-        let given = call.ended.unwrap_or(0);
-        let lost = |at: &u64| (given..=given + CONFIRMED_MS).contains(at);
-        if call.ends > 1 && rules.copied && killed.values().flatten().any(lost) {
-            findings.again += 1;
-        } else if call.ends > 1 {
-            findings
-                .broken
-                .push(format!("call {id} offered to {} at {}: ended twice", call.machine, call.offered));
-        }
-        let mut broken = |what: &str| {
-            let (machine, at) = (&call.machine, call.offered);
-            findings.broken.push(format!("call {id} offered to {machine} at {at}: {what}"));
-        };
-        if call.answers > 1 {
-            broken("answered twice");
+        judge_call(*id, call, &machines, end, rules, findings);
+    }
+}
+
+fn judge_call(id: u64, call: &Call, machines: &Machines, end: u64, rules: &Rules, findings: &mut Findings) {
+    let open_at = |times: &BTreeMap<&str, Vec<u64>>| {
+        times.get(call.machine).and_then(|times| times.iter().copied().find(|at| call.is_open_at(*at)))
+    };
+    let (killed, stopped) = (open_at(&machines.killed), open_at(&machines.stopped));
+    let stalls = machines.stalled.get(call.machine).map_or(&[][..], Vec::as_slice);
+    let (machine, offered, ended) = (call.machine, call.offered, call.ended());
+    findings.offered += 1;
+    findings.taken += usize::from(killed.or(stopped).is_some());
+    findings.stood += usize::from(call.answered.is_some());
+    findings.refused += usize::from(call.answered.is_none() && ended.is_some());
+    let mut broken = Vec::new();
+    for pair in call.ends.windows(2) {
+        let ((first, by), (second, next)) = (pair[0], pair[1]);
+        match machines.excuse(pair[0], pair[1]).filter(|_| rules.copied) {
+            Some(killed) => findings.again.push(format!(
+                "call {id}: ended by {by} at {first}, which was killed at {killed}, and by {next} at {second}"
+            )),
+            None => broken.push(format!("ended twice, by {by} at {first} and by {next} at {second}")),
         }
-        if let (true, true, Some(from)) = (taken, rules.copied, of_kill(call)) {
-            let over = call.released.unwrap_or(from).max(from) + rules.release_ms;
-            let told = call.answered.is_some();
-            match call.ended {
-                None if told && end > over => broken("its machine was lost, and nobody gave its release"),
-                Some(at) if told && at > over => broken("its machine was lost, and its release came late"),
-                None if call.asked && !told && !call.cut && call.released.is_none() && end > over => {
-                    broken("its machine was lost, and it stands at its server");
-                }
-                _ => {}
+    }
+    if call.answers > 1 {
+        broken.push("answered twice".into());
+    }
+    if let (true, Some(from)) = (rules.copied, killed.or(stopped)) {
+        let over = call.released.unwrap_or(from).max(from) + rules.release_ms;
+        let told = call.answered.is_some();
+        match ended {
+            None if told && end > over => {
+                broken.push("its machine was lost, and nobody gave its release".into());
             }
+            Some(at) if told && at > over => {
+                broken.push("its machine was lost, and its release came late".into());
+            }
+            None if call.asked && !told && !call.cut && call.released.is_none() && end > over => {
+                broken.push("its machine was lost, and it stands at its server".into());
+            }
+            _ => {}
         }
-        if taken {
-            continue;
-        }
-        let first = call.answered.or(call.ended);
-        let answer_by = due(call.offered, rules.answer_ms, stalls);
-        match first {
-            None if end > answer_by => match call.closed {
-                Some(at) => broken(&format!("its connection was closed at {at} without an answer")),
-                None => broken("no answer"),
-            },
-            Some(at) if at > answer_by => broken("answered too late"),
+    }
+    // A machine that stops in order answers what it has taken; others release what it does not.
+    if killed.is_none() {
+        let answer_by = due(offered, rules.answer_ms, stalls);
+        match (call.answered.or(ended), call.closed) {
+            (None, Some(at)) if end > answer_by => {
+                broken.push(format!("its connection was closed at {at} without an answer"));
+            }
+            (None, None) if end > answer_by => broken.push("no answer".into()),
+            (Some(at), _) if at > answer_by => broken.push("answered too late".into()),
             _ => {}
         }
-        if let (Some(_), None, Some(released)) = (call.answered, call.ended, call.released) {
+        if let (Some(_), None, Some(released)) = (call.answered, ended, call.released) {
             if end > due(released, rules.release_ms, stalls) {
-                broken(&format!("released by its server at {released}, and not towards its caller"));
+                broken.push(format!("released by its server at {released}, and not towards its caller"));
             }
         }
     }
+    let of_call = |what| format!("call {id} offered to {machine} at {offered}: {what}");
+    findings.broken.extend(broken.into_iter().map(of_call));
 }
 
 /// No more machines leave than may, nor of two zones, and none while others are known to be lost.
@@ -178,7 +225,7 @@
     let mut down: BTreeMap<&str, u64> = BTreeMap::new();
     for Event { at, what } in events {
         match what {
-            What::Killed { machine } => {
+            What::Killed { machine } | What::Stopped { machine, .. } => {
                 down.entry(machine).or_insert(*at);
                 states.insert(machine, "silent");
             }
@@ -261,9 +308,13 @@
     }
 
     fn judged_by(rules: &Rules, events: &[(u64, What)]) -> Vec<String> {
+        findings(rules, events).broken
+    }
+
+    fn findings(rules: &Rules, events: &[(u64, What)]) -> Findings {
         let events: Vec<Event> =
             events.iter().map(|(at, what)| Event { at: *at, what: what.clone() }).collect();
-        judge(&events, rules).broken
+        judge(&events, rules)
     }
 
     fn seen(machine: &str, state: &str) -> What {
@@ -330,9 +381,6 @@
         assert!(then(&[released(15), ended(115)]).is_empty(), "by the kill, where that was later");
         assert!(then(&[released(300)])[0].contains("nobody gave its release"));
         assert!(then(&[released(300), ended(310), ended(320)])[0].contains("ended twice"));
-        let given =
-            [offered.clone(), asked.clone(), stood[2].clone(), released(15), ended(18), killed.clone()];
-        assert!(of(&[&given[..], &[ended(30), later.clone()]].concat()).is_empty(), "right before the kill");
         let untold = |more: &[(u64, What)]| {
             of(&[&[offered.clone(), asked.clone(), killed.clone()][..], more, std::slice::from_ref(&later)]
                 .concat())
@@ -342,6 +390,68 @@
         assert!(untold(&[released(60)]).is_empty(), "its server has ended it");
     }
 
+    /// A second end is excused by an unplanned kill of the member that gave the first one, right after it.
+    #[test]
+    fn it_excuses_a_second_end_after_the_kill_of_the_member_that_gave_the_first() {
+        let rules = Rules { copied: true, ..rules() };
+        let machine = |name: &str| name.to_string();
+        let ended = |at, by| (at, What::Ended { call: 1, why: 16, machine: machine(by) });
+        let killed = |at, name| (at, What::Killed { machine: machine(name) });
+        let stopped = (40, What::Stopped { machine: machine("n1"), code: 0 });
+        let of = |more: &[(u64, What)]| {
+            let given = [
+                (0, What::Offered { call: 1, machine: machine("n1") }),
+                (10, What::Answered { call: 1 }),
+                (20, What::Released { call: 1 }),
+                ended(30, "n1"),
+            ];
+            let later = [(2_000, What::Phase { name: "end".into() })];
+            findings(&rules, &[&given[..], more, &later].concat())
+        };
+        let excused = of(&[killed(40, "n1"), ended(60, "n2")]);
+        assert!(excused.broken.is_empty() && excused.again.len() == 1, "{excused:?}");
+        let started = (50, What::Started { machine: machine("n1") });
+        let back = of(&[killed(40, "n1"), started, ended(60, "n1")]);
+        assert!(back.broken.is_empty() && back.again.len() == 1, "{back:?}");
+        for (more, why) in [
+            (&[stopped, ended(60, "n2")][..], "a stop in order is no kill"),
+            (&[killed(40, "n3"), ended(60, "n2")], "another member was killed"),
+            (&[killed(531, "n1"), ended(560, "n2")], "it had been confirmed for long"),
+            (&[ended(35, "n2"), killed(40, "n1")], "the second end was first"),
+            (&[killed(40, "n1"), ended(60, "n1")], "both were given by the one that was killed"),
+            (&[killed(40, "n1"), ended(60, "n2"), ended(70, "n2")], "the second one was not killed"),
+        ] {
+            let found = of(more);
+            assert!(found.broken.len() == 1 && found.broken[0].contains("ended twice"), "{why}: {found:?}");
+        }
+    }
+
+    /// A machine that stops in order counts as away, and is excused from nothing.
+    #[test]
+    fn it_excuses_nothing_at_a_machine_that_stops_in_order() {
+        let offered = (0, What::Offered { call: 1, machine: "n1".into() });
+        let answered = (10, What::Answered { call: 1 });
+        let released = (30, What::Released { call: 1 });
+        let ended = |at| (at, What::Ended { call: 1, why: 16, machine: "n2".into() });
+        let stopped = |code| (20, What::Stopped { machine: "n1".into(), code });
+        let later = (900, What::Phase { name: "end".into() });
+        let of = |copied, events: &[(u64, What)]| findings(&Rules { copied, ..rules() }, events);
+        let stood = [offered.clone(), answered, stopped(0), released];
+        let then = |copied, more: &[(u64, What)]| of(copied, &[&stood[..], more].concat());
+        for copied in [false, true] {
+            let good = then(copied, &[ended(90), later.clone()]);
+            assert!(good.broken.is_empty() && good.taken == 1, "{good:?}");
+            assert!(!then(copied, std::slice::from_ref(&later)).broken.is_empty(), "no release");
+            let unanswered = of(copied, &[offered.clone(), stopped(0), later.clone()]);
+            assert!(unanswered.broken[0].contains("no answer"), "{unanswered:?}");
+        }
+        assert!(then(true, &[ended(131), later.clone()]).broken[0].contains("came late"));
+        assert!(of(false, &[stopped(1), later]).broken[0].contains("stopped with code 1"));
+        let all = ["n1", "n2", "n3"].map(|name| (0, seen(name, "serving")));
+        let left = [&all[..], &[stopped(0), (200, seen("n2", "standby"))]].concat();
+        assert_eq!(judged(&left).len(), 2, "another leaves while it is away, of another zone");
+    }
+
     #[test]
     fn it_finds_machines_that_leave_together() {
         let all = ["n1", "n2", "n3"].map(|name| (0, seen(name, "serving")));
--- a/rig/src/history.rs
+++ b/rig/src/history.rs
@@ -50,9 +50,19 @@
     Started {
         machine: String,
     },
+    /// Its process was killed.
     Killed {
         machine: String,
     },
+    /// Its process was told to stop in order.
+    Terminated {
+        machine: String,
+    },
+    /// Its process, which was told to stop, has ended by itself, with this exit code.
+    Stopped {
+        machine: String,
+        code: i32,
+    },
     Stalled {
         machine: String,
     },
--- a/rig/src/rig.rs
+++ b/rig/src/rig.rs
@@ -218,7 +218,10 @@
             copied: self.setting.copies.is_some(),
         };
         let _ = self.history.write(&self.setting.directory.join("history.jsonl"));
-        judge(&self.history.events(), &rules)
+        let findings = judge(&self.history.events(), &rules);
+        println!("releases given again after a kill: {}", findings.again.len());
+        findings.again.iter().for_each(|again| println!("  {again}"));
+        findings
     }
 
     pub fn name(&self, place: usize) -> &str {
@@ -334,7 +337,7 @@
 
     /// The process is killed, with all that stands in it.
     pub fn kill(&mut self, place: usize) {
-        self.gone(place);
+        self.gone(place, What::Killed { machine: self.name(place).into() });
         if let Some(mut child) = self.machines[place].child.take() {
             let _ = child.kill();
             let _ = child.wait();
@@ -347,7 +350,7 @@
     }
 
     /// From here on no answer of the process counts, and nobody calls by way of it.
-    fn gone(&mut self, place: usize) {
+    fn gone(&mut self, place: usize, how: What) {
         let machine = &mut self.machines[place];
         machine.stalled = false;
         if let Ok(mut ops) = machine.ops.lock() {
@@ -355,20 +358,24 @@
             if let Ok(mut states) = self.states.lock() {
                 states.insert(machine.name.clone(), "silent".into());
             }
-            self.history.note(What::Killed { machine: machine.name.clone() });
+            self.history.note(how);
         }
         if let Ok(mut doors) = self.doors.lock() {
             doors[place].1 = None;
         }
     }
 
-    /// The process is told to end, and waited for.
+    /// The process is told to end, and waited for. One that a signal ended has not ended by itself.
     pub fn stop(&mut self, place: usize) {
+        let machine = self.name(place).to_string();
+        self.history.note(What::Terminated { machine: machine.clone() });
         self.signal(place, "TERM");
-        if let Some(mut child) = self.machines[place].child.take() {
-            let _ = child.wait();
-        }
-        self.gone(place);
+        let ended = self.machines[place].child.take().and_then(|mut child| child.wait().ok());
+        let how = match ended.and_then(|status| status.code()) {
+            Some(code) => What::Stopped { machine, code },
+            None => What::Killed { machine },
+        };
+        self.gone(place, how);
     }
 
     /// The next start is of the newest program.
