Have the rig's callers send again what crosses a close, and judge it by when they saw it

The rig's callers did not, and each such set-up was a broken rule: in the roll's test a set-up written in the ms in which its member, in standby, closed the connection. They do so now, with the same id (as the upgrade's test does) and without `again`, which is for calls that were cut.

A set-up written more than 50 ms before a close stays a broken rule, also where it came again; so does one that crosses twice.

--- a/rig/src/history.rs
+++ b/rig/src/history.rs
@@ -25,9 +25,17 @@
         why: u64,
         machine: String,
     },
-    /// The connection on which it was offered has ended.
+    /// It comes again, by way of a machine: its set-up crossed the close of its connection.
+    OfferedAgain {
+        call: u64,
+        machine: String,
+    },
+    /// The connection on which it was offered has ended. Its set-up was written at `written` at the latest,
+    /// and at `not_before` the connection was open, with nothing left to be read.
     Closed {
         call: u64,
+        written: u64,
+        not_before: u64,
     },
     /// A check server (by its number, from 1) was asked.
     Asked {
