--- a/rig/src/history.rs
+++ b/rig/src/history.rs
@@ -25,9 +25,17 @@
         why: u64,
         machine: String,
     },
-    /// The connection on which it was offered has ended.
+    /// It comes again, by way of a machine: its set-up crossed the close of its connection.
+    OfferedAgain {
+        call: u64,
+        machine: String,
+    },
+    /// The connection on which it was offered has ended. Its set-up was written at `written` at the latest,
+    /// and at `not_before` the connection was open, with nothing left to be read.
     Closed {
         call: u64,
+        written: u64,
+        not_before: u64,
     },
     /// A check server (by its number, from 1) was asked.
     Asked {
@@ -50,9 +58,19 @@
     Started {
         machine: String,
     },
+    /// Its process was killed.
     Killed {
         machine: String,
     },
+    /// Its process was told to stop in order.
+    Terminated {
+        machine: String,
+    },
+    /// Its process, which was told to stop, has ended by itself, with this exit code.
+    Stopped {
+        machine: String,
+        code: i32,
+    },
     Stalled {
         machine: String,
     },
--- a/rig/src/rig.rs
+++ b/rig/src/rig.rs
@@ -14,7 +14,7 @@
 
 use crate::checker::{judge, Findings, Rules};
 use crate::history::{History, What};
-use crate::peers::{Caller, Doors, Server, PATIENCE_MS};
+use crate::peers::{Caller, Door, Doors, Server, PATIENCE_MS};
 
 /// Machines are asked how they are so often.
 const LOOK: Duration = Duration::from_millis(40);
@@ -134,7 +134,7 @@
         }
         let members = machines.iter().map(|m| Member { name: m.name.clone(), address: m.address }).collect();
         let mesh = Mesh::start(setting.plan.clone(), members).expect("fronts");
-        let doors = machines.iter().map(|machine| (machine.name.clone(), None)).collect();
+        let doors = machines.iter().map(|machine| Door::of(&machine.name)).collect();
         let mut rig = Rig {
             setting,
             history,
@@ -218,7 +218,11 @@
             copied: self.setting.copies.is_some(),
         };
         let _ = self.history.write(&self.setting.directory.join("history.jsonl"));
-        judge(&self.history.events(), &rules)
+        let findings = judge(&self.history.events(), &rules);
+        println!("set-ups that crossed a close and came again: {}", findings.crossed);
+        println!("releases given again after a kill: {}", findings.again.len());
+        findings.again.iter().for_each(|again| println!("  {again}"));
+        findings
     }
 
     pub fn name(&self, place: usize) -> &str {
@@ -289,10 +293,8 @@
                 let line = line.strip_prefix("steprelay: ").unwrap_or(&line).to_string();
                 if let Some(address) = line.strip_prefix("serving on ") {
                     if let (Ok(mut doors), Ok(address)) = (doors.lock(), address.parse()) {
-                        doors
-                            .iter_mut()
-                            .filter(|door| door.0 == name)
-                            .for_each(|door| door.1 = Some(address));
+                        let doors = doors.iter_mut().filter(|door| door.name == name);
+                        doors.for_each(|door| door.address = Some(address));
                     }
                 }
                 if let Some(address) = line.strip_prefix("answering operators on ") {
@@ -334,7 +336,7 @@
 
     /// The process is killed, with all that stands in it.
     pub fn kill(&mut self, place: usize) {
-        self.gone(place);
+        self.gone(place, What::Killed { machine: self.name(place).into() });
         if let Some(mut child) = self.machines[place].child.take() {
             let _ = child.kill();
             let _ = child.wait();
@@ -347,28 +349,34 @@
     }
 
     /// From here on no answer of the process counts, and nobody calls by way of it.
-    fn gone(&mut self, place: usize) {
+    fn gone(&mut self, place: usize, how: What) {
         let machine = &mut self.machines[place];
         machine.stalled = false;
+        let killed = matches!(how, What::Killed { .. });
         if let Ok(mut ops) = machine.ops.lock() {
             *ops = None;
             if let Ok(mut states) = self.states.lock() {
                 states.insert(machine.name.clone(), "silent".into());
             }
-            self.history.note(What::Killed { machine: machine.name.clone() });
+            self.history.note(how);
         }
         if let Ok(mut doors) = self.doors.lock() {
-            doors[place].1 = None;
+            doors[place].address = None;
+            doors[place].kills += u32::from(killed);
         }
     }
 
-    /// The process is told to end, and waited for.
+    /// The process is told to end, and waited for. One that a signal ended has not ended by itself.
     pub fn stop(&mut self, place: usize) {
+        let machine = self.name(place).to_string();
+        self.history.note(What::Terminated { machine: machine.clone() });
         self.signal(place, "TERM");
-        if let Some(mut child) = self.machines[place].child.take() {
-            let _ = child.wait();
-        }
-        self.gone(place);
+        let ended = self.machines[place].child.take().and_then(|mut child| child.wait().ok());
+        let how = match ended.and_then(|status| status.code()) {
+            Some(code) => What::Stopped { machine, code },
+            None => What::Killed { machine },
+        };
+        self.gone(place, how);
     }
 
     /// The next start is of the newest program.
@@ -559,6 +567,7 @@
                 What::Logged { machine, line } => format!("{machine}: {line}"),
                 What::Staff { words, .. } if words.ends_with("--json") => continue,
                 What::Offered { .. }
+                | What::OfferedAgain { .. }
                 | What::Answered { .. }
                 | What::Ended { .. }
                 | What::Asked { .. }
