Play the delivery of releases in virtual time, by seed, with members struck between effects

A member is one core and one copies Member around the agent's own files of replication (net/copies.rs, owner/replication.rs), which are compiled as they are; the owner's turns, sockets, leases and successions are the test's.

--- /dev/null
+++ b/rig/tests/delivery/net/owner.rs
@@ -0,0 +1,265 @@
+//! A member's owner of the core, as `agent/src/net/owner.rs` has it, without sockets: what comes in is handed
+//! to it, and what it says is taken from it. Its part in replication is the agent's own file.
+
+use std::collections::{BTreeMap, VecDeque};
+
+use steprelay_copies::member::News;
+use steprelay_core::{ClientId, Core, Effect, LinkLoss, NotSent, ReleaseCause, Request};
+use steprelay_decisions::{CallId, Cause, Micros, Report, ServerId};
+
+use super::copies::{Copies, CopiesEnd};
+use crate::ports::{Clock, LinkId, ToServer};
+
+#[path = "../../../../agent/src/net/owner/replication.rs"]
+mod replication;
+
+/// Callers get this long to close their side once all is answered (`owner.rs`).
+const CLOSING: Micros = 400_000;
+
+/// What comes to the owner.
+#[derive(Clone, Debug)]
+pub enum Input {
+    ClientOpened(ClientId),
+    ClientClosed(ClientId),
+    ClientPaused(ClientId, u64),
+    Offer(ClientId, Request),
+    ReleaseHeard(ClientId, CallId),
+    LinkUp(LinkId),
+    LinkLost(LinkId, LinkLoss),
+    Answered(LinkId, CallId),
+    Ended(LinkId, CallId, ReleaseCause),
+    Reported(LinkId, Report),
+    Copies(News),
+    Stop,
+}
+
+/// What the owner says, on which connection.
+#[derive(Debug)]
+pub enum Said {
+    Caller(ClientId, Effect),
+    Server(LinkId, ToServer),
+    /// All is answered: the connection ends behind what was said on it.
+    Finish(ClientId),
+}
+
+pub struct Shared {
+    pub clock: Clock,
+}
+
+/// One connection to each server, and the set-ups that wait on it.
+#[derive(Default)]
+pub struct Links {
+    up: BTreeMap<ServerId, LinkId>,
+    out: BTreeMap<CallId, LinkId>,
+    said: Vec<Said>,
+}
+
+impl Links {
+    pub fn is_current(&self, link: LinkId) -> bool {
+        self.up.get(&link.server) == Some(&link)
+    }
+
+    pub fn post(&mut self, server: ServerId, message: ToServer, _now: Micros) -> Result<(), NotSent> {
+        let link = *self.up.get(&server).ok_or(NotSent::Unreachable)?;
+        match &message {
+            ToServer::SetUp(set_up) => drop(self.out.insert(set_up.call, link)),
+            ToServer::GiveUp(call) => drop(self.out.remove(call)),
+            _ => {}
+        }
+        self.said.push(Said::Server(link, message));
+        Ok(())
+    }
+
+    fn lost(&mut self, link: LinkId) -> Vec<CallId> {
+        self.up.remove(&link.server);
+        self.out.extract_if(.., |_, of| *of == link).map(|(call, _)| call).collect()
+    }
+}
+
+pub struct Owner {
+    pub core: Core,
+    copies: Option<Copies>,
+    shared: Shared,
+    links: Links,
+    /// Effects that are not carried out yet.
+    effects: VecDeque<Effect>,
+    said: Vec<Said>,
+    /// Until when what comes is taken in behind the last answer, once that is out.
+    closed_by: Option<Micros>,
+    polled: Micros,
+}
+
+impl Owner {
+    pub fn new(mut core: Core, clock: Clock, end: CopiesEnd) -> Self {
+        core.tell_promises();
+        let polled = clock.now();
+        Owner {
+            core,
+            copies: Some(Copies::new(end)),
+            shared: Shared { clock },
+            links: Links::default(),
+            effects: VecDeque::new(),
+            said: Vec::new(),
+            closed_by: None,
+            polled,
+        }
+    }
+
+    pub fn take_said(&mut self) -> Vec<Said> {
+        std::mem::take(&mut self.said)
+    }
+
+    pub fn waits(&self) -> bool {
+        self.copies.as_ref().is_some_and(Copies::waits)
+    }
+
+    pub fn is_stopping(&self) -> bool {
+        self.core.duty().ends_by().is_some()
+    }
+
+    /// Takes in what came. What follows from it is carried out later in the turn.
+    pub fn take(&mut self, input: Input) {
+        let now = self.shared.clock.now();
+        self.look_at_doubt(now);
+        match input {
+            Input::ClientOpened(client) => self.core.client_opened(now, client, None),
+            Input::ClientClosed(client) => self.core.client_closed(now, client),
+            Input::ClientPaused(client, inputs) => self.core.client_paused(now, client, inputs),
+            Input::Offer(client, request) => self.core.offer(now, self.polled, client, request),
+            Input::ReleaseHeard(client, call) => self.core.release_heard(now, client, call),
+            Input::LinkUp(link) => {
+                self.links.up.insert(link.server, link);
+            }
+            Input::LinkLost(link, loss) => {
+                for call in self.links.lost(link) {
+                    self.core.attempt_lost(now, link.server, call);
+                }
+                if matches!(loss, LinkLoss::Refused | LinkLoss::Unanswered) {
+                    self.core.link_lost(now, link.server, loss);
+                }
+            }
+            Input::Answered(link, call) if self.links.is_current(link) => {
+                self.links.out.remove(&call);
+                self.core.server_answered(now, link.server, call, "v=1".into());
+            }
+            Input::Ended(link, call, cause) if self.links.is_current(link) => {
+                if let Some(copies) = &mut self.copies {
+                    copies.release_came(link, call);
+                }
+                self.core.server_ended(now, link.server, call, cause, Cause::Untold, Report::default());
+            }
+            Input::Ended(link, call, cause) => self.core.server_ended_late(now, link.server, call, cause),
+            Input::Reported(link, report) => self.core.report(now, link.server, report),
+            Input::Answered(..) => {}
+            Input::Copies(news) => self.heard_of_copies(now, news),
+            Input::Stop => self.core.stop(now, false),
+        }
+    }
+
+    /// What is due by now, ahead of what follows from it.
+    pub fn wake(&mut self) {
+        self.polled = self.shared.clock.now();
+        self.core.wake(self.polled);
+        self.look_at_copies();
+    }
+
+    /// Whether it was held up between two effects.
+    pub fn is_amid(&self) -> bool {
+        !self.effects.is_empty()
+    }
+
+    /// Carries out the next effect; whether there was one.
+    pub fn carry_out_one(&mut self) -> bool {
+        if self.effects.is_empty() {
+            self.effects.extend(self.core.take_effects());
+        }
+        let effect = self.effects.pop_front();
+        let any = effect.is_some();
+        effect.into_iter().for_each(|effect| self.do_one(effect));
+        if !any {
+            self.copies.iter_mut().for_each(Copies::number_releases);
+        }
+        let posted = std::mem::take(&mut self.links.said);
+        self.said.extend(posted);
+        any
+    }
+
+    /// Whether it was told to stop and nothing is open any more, or no more time is left for that: the rule
+    /// of `Owner::is_done`.
+    pub fn is_done(&self, now: Micros) -> bool {
+        let is_over = self.core.duty().answers_all_at().is_some_and(|at| now >= at);
+        let is_idle = self.core.connections() == 0 && self.core.duty().may_end(now);
+        self.core.unanswered() == 0 && (is_over || is_idle)
+    }
+
+    /// Behind the last answer: whether the process is to go on for what still comes, as `Owner::flush` says.
+    /// `open`: whether a caller's connection is.
+    pub fn flushes(&mut self, now: Micros, callers: &[ClientId], open: bool) -> bool {
+        let ends_by = self.core.duty().ends_by().unwrap_or_default();
+        if self.closed_by.is_none() {
+            self.said.extend(callers.iter().map(|client| Said::Finish(*client)));
+        }
+        let closed_by = *self.closed_by.get_or_insert((now + CLOSING).min(ends_by));
+        let late = self.core.unanswered() > 0;
+        late && now < ends_by || open && now < closed_by
+    }
+
+    pub fn has_finished(&self) -> bool {
+        self.closed_by.is_some()
+    }
+
+    fn do_one(&mut self, effect: Effect) {
+        let now = self.shared.clock.now();
+        self.look_at_doubt(now);
+        if let Effect::Released { call, .. } = &effect {
+            if self.copies.as_mut().is_some_and(|copies| copies.expire_doubted_answer(*call)) {
+                return self.core.withdraw_answer(now, *call);
+            }
+            self.copies.iter_mut().for_each(|copies| copies.release_leaves(*call));
+            let first = self.copies.as_mut().and_then(|copies| copies.answer_first(*call));
+            first.into_iter().for_each(|effect| self.say(now, effect));
+        }
+        if let Some(effect) = self.copies.as_mut().and_then(|copies| copies.hold(now, effect)) {
+            self.say(now, effect);
+        }
+    }
+
+    fn say(&mut self, now: Micros, effect: Effect) {
+        if let Some(copies) = &self.copies {
+            copies.trace_lease(&effect);
+        }
+        match effect {
+            Effect::SetUp { server, set_up } => {
+                let call = set_up.call;
+                if let Err(reason) = self.links.post(server, ToServer::SetUp(set_up), now) {
+                    self.core.not_sent(now, server, call, reason);
+                }
+            }
+            Effect::GiveUp { server, call } => {
+                let _ = self.links.post(server, ToServer::GiveUp(call), now);
+            }
+            Effect::Withdraw { server, call } => {
+                if self.copies.as_mut().is_some_and(|copies| copies.withdraw(call)) {
+                    self.core.not_sent(now, server, call, NotSent::Withdrawn);
+                }
+            }
+            Effect::Release { server, call, cause } => {
+                let _ = self.links.post(server, ToServer::Release(call, cause), now);
+            }
+            Effect::Promised { call, promise, by } => {
+                self.copies.iter_mut().for_each(|copies| copies.note(call, promise, by));
+            }
+            Effect::PassedOn { call } => self.copies.iter_mut().for_each(|copies| copies.passed_on(call)),
+            Effect::Given { call } => self.copies.iter_mut().for_each(|copies| copies.given(call)),
+            Effect::Answer { client, .. }
+            | Effect::Final { client, .. }
+            | Effect::Released { client, .. }
+            | Effect::LetGo { client, .. }
+            | Effect::Pause { client }
+            | Effect::CloseIfPaused { client, .. }
+            | Effect::Resume { client }
+            | Effect::Close { client } => self.said.push(Said::Caller(client, effect)),
+            Effect::Probe { .. } | Effect::Log(_) => {}
+        }
+    }
+}
