--- a/agent/src/net/copies.rs
+++ b/agent/src/net/copies.rs
@@ -7,7 +7,8 @@
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::sync::Arc;
 
-use steprelay_core::{Effect, Promise};
+use steprelay_copies::member::Question;
+use steprelay_core::{ClientId, Effect, Promise};
 use steprelay_decisions::{CallId, Micros};
 use tokio::sync::mpsc;
 
@@ -73,9 +74,13 @@
     set_ups: BTreeMap<CallId, Waiting>,
     /// By the number of the note that has to be covered.
     order: VecDeque<(u64, CallId)>,
+    /// Of other members, to be confirmed once what precedes them was carried out.
+    questions: Vec<Question>,
     /// Releases that came, until the notes of them are numbered; and then by that number.
     came: Vec<(LinkId, CallId)>,
     heard: VecDeque<(u64, LinkId, CallId)>,
+    /// The note by which others know all that callers were told of calls that are over, and acknowledged.
+    settled_by: u64,
     /// Too few others can take copies: nothing waits for them.
     short: bool,
     doubt: Option<Doubt>,
@@ -97,8 +102,10 @@
             answers: BTreeMap::new(),
             set_ups: BTreeMap::new(),
             order: VecDeque::new(),
+            questions: Vec::new(),
             came: Vec::new(),
             heard: VecDeque::new(),
+            settled_by: 0,
             short: true,
             doubt: None,
             relinquished: BTreeMap::new(),
@@ -119,6 +126,9 @@
             self.set_ups.remove(&call);
         }
         self.say(Note::Promise(call, promise));
+        if promise.is_none() {
+            self.settled_by = self.noted;
+        }
     }
 
     pub fn passed_on(&mut self, call: CallId) {
@@ -131,9 +141,23 @@
         let _ = self.end.notes.try_send(Note::Given(call));
     }
 
+    /// Another member waits for what is to be said of calls that it was told of: it goes out behind that.
+    pub fn confirm(&mut self, question: Question) {
+        self.questions.push(question);
+    }
+
+    /// All that precedes the questions of other members was carried out.
+    pub fn answer_questions(&mut self) {
+        for question in self.questions.drain(..) {
+            // Lost where there is no room: it is asked again.
+            let _ = self.end.notes.try_send(Note::Confirmed(question));
+        }
+    }
+
     /// The release of a call leaves. A successor that may have the call by now is not to give it too, also
     /// where it was decided on before the doubt.
     pub fn release_leaves(&mut self, call: CallId) {
+        self.settled_by = self.noted;
         if self.doubts(call) {
             self.passed_on(call);
         }
@@ -277,6 +301,36 @@
         late.iter().filter_map(|call| self.answers.remove(call)).map(|waiting| waiting.effect).collect()
     }
 
+    /// Whether an answer to this client waits.
+    pub fn holds_answer_to(&self, client: ClientId) -> bool {
+        let is_for =
+            |waiting: &Waiting| matches!(waiting.effect, Effect::Answer { client: of, .. } if of == client);
+        self.answers.values().any(is_for)
+    }
+
+    pub fn holds_answers(&self) -> bool {
+        !self.answers.is_empty()
+    }
+
+    /// The answers that wait, where no time is left for that: whether others know or not.
+    pub fn take_answers(&mut self) -> Vec<Effect> {
+        let answers = std::mem::take(&mut self.answers);
+        self.uncopied += answers.len() as u64;
+        answers.into_values().map(|waiting| waiting.effect).collect()
+    }
+
+    /// Whether others hold all that callers were told of calls that are over, and servers were told that it was
+    /// heard: else a successor, or another member whom a server tells, gives a release again.
+    pub fn is_settled(&self) -> bool {
+        let told = self.heard.front().is_none_or(|(number, ..)| *number > self.settled_by);
+        !self.behind && self.came.is_empty() && self.covered >= self.settled_by && told
+    }
+
+    /// Whether too few others can take copies now.
+    pub fn is_short(&self) -> bool {
+        self.short
+    }
+
     /// Whether anything waits that time alone may let out.
     pub fn waits(&self) -> bool {
         !self.answers.is_empty() || !self.set_ups.is_empty() || self.doubt.is_some() || self.behind
--- a/agent/src/net/owner/tests.rs
+++ b/agent/src/net/owner/tests.rs
@@ -11,8 +11,10 @@
 use steprelay_decisions::{Cause, Report, Settings};
 use steprelay_settings::Site;
 
+mod delivery;
 mod failover;
 mod settle;
+mod shutdown;
 
 const SERVER: ServerId = ServerId(1);
 const CALL: CallId = CallId(7);
--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -9,9 +9,11 @@
 mod bound;
 mod cause;
 mod clients;
+mod delivery;
 pub mod duty;
 mod promise;
 mod relay;
+mod round_trip;
 mod route;
 mod send;
 mod take_in;
@@ -33,6 +35,7 @@
 pub use cause::ReleaseCause;
 use clients::Clients;
 pub use clients::{Bounds, ClientId, Peer};
+use delivery::{Deliveries, KEPT_IDLE_FOR, KEPT_OPEN_FOR};
 use duty::Duty;
 pub use promise::Promise;
 use promise::Promises;
@@ -105,6 +108,18 @@
         call: CallId,
         cause: ReleaseCause,
     },
+    /// A release that was given to this client is taken back if its first byte has not left; that is told as
+    /// [`Core::release_withdrawn`], else as [`Core::release_sent`].
+    WithdrawRelease {
+        client: ClientId,
+        call: CallId,
+    },
+    /// Where nothing waits on the client's connection that was not handed on, that is told as
+    /// [`Core::client_silent`].
+    AskIfSilent {
+        client: ClientId,
+        call: CallId,
+    },
     /// The client's connection is ended.
     Close {
         client: ClientId,
@@ -197,8 +212,8 @@
     Stop(CallId, u32),
     /// The end of the call's time, whatever is out.
     Deadline(CallId),
-    /// A release that is not confirmed is looked at again.
-    Owed(CallId),
+    /// A release that is not acknowledged is looked at again.
+    Delivery(CallId),
     /// No member has claimed this release in time.
     Unclaimed(CallId),
     /// Connections that only hold a place are looked for.
@@ -216,6 +231,7 @@
     clients: Clients,
     pending: BTreeMap<CallId, Pending>,
     relay: Relay,
+    deliveries: Deliveries,
     book: Book,
     duty: Duty,
     promises: Promises,
@@ -238,6 +254,7 @@
             clients: Clients::new(bounds),
             pending: BTreeMap::new(),
             relay: Relay::default(),
+            deliveries: Deliveries::default(),
             book: Book::new(site_classes),
             duty: Duty::default(),
             promises: Promises::default(),
@@ -297,11 +314,14 @@
                 Wake::Resume(call) => self.decide(now, Event::Timer(Timer::Call(call))),
                 Wake::Stop(call, attempt) => self.attempt_timed_out(now, call, attempt),
                 Wake::Deadline(call) => self.deadline_passed(now, call),
-                Wake::Owed(call) => self.release_due(now, call),
+                Wake::Delivery(call) => self.delivery_due(now, call),
                 Wake::Unclaimed(call) => self.release_unclaimed(now, call),
                 Wake::Sweep => {
+                    let unacknowledged = self.deliveries.unacknowledged(now, KEPT_IDLE_FOR);
                     for client in self.clients.useless(now) {
-                        self.let_go(client);
+                        if !unacknowledged.contains(&client) {
+                            self.let_go(client);
+                        }
                     }
                     self.wakes.push(Reverse((now + SWEEP, Wake::Sweep)));
                 }
@@ -358,10 +378,10 @@
 
     /// Clients that are not let go of now.
     fn stays(&self, now: Micros) -> BTreeSet<ClientId> {
-        let mut stays = self.relay.unconfirmed(now);
+        let mut stays = self.deliveries.unacknowledged(now, KEPT_OPEN_FOR);
         // Releases of what stands need a connection that takes them: the one that made most of the calls
         // stays for them; in the end only for its own, or it would be held idle.
-        let all = self.relay.standing() + self.relay.owed();
+        let all = self.relay.standing() + self.deliveries.len();
         let last = self.clients.last_to_go().filter(|(_, own)| self.duty.keeps(now, *own, all));
         stays.extend(last.map(|(client, _)| client));
         stays
