Follow the delivery of releases, its questions and the end in order in virtual time

The test's owner takes what was written and what is silent from its connections, answers questions behind what precedes them, and ends as the agent's does: once what callers acknowledged is known elsewhere.

--- a/rig/tests/delivery/net/owner.rs
+++ b/rig/tests/delivery/net/owner.rs
@@ -1,7 +1,7 @@
 //! A member's owner of the core, as `agent/src/net/owner.rs` has it, without sockets: what comes in is handed
 //! to it, and what it says is taken from it. Its part in replication is the agent's own file.
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 use steprelay_copies::member::News;
 use steprelay_core::{ClientId, Core, Effect, LinkLoss, NotSent, ReleaseCause, Request};
@@ -15,6 +15,10 @@
 
 /// Callers get this long to close their side once all is answered (`owner.rs`).
 const CLOSING: Micros = 400_000;
+/// Where too few other members can take copies, they are waited for this long before the end.
+const SETTLED_SHORT_WITHIN: Micros = 1_000_000;
+/// What follows the owner's own end takes so long (`serve.rs`).
+const FAREWELL: Micros = 60_000;
 
 /// What comes to the owner.
 #[derive(Clone, Debug)]
@@ -24,6 +28,10 @@
     ClientPaused(ClientId, u64),
     Offer(ClientId, Request),
     ReleaseHeard(ClientId, CallId),
+    /// A release has left at this time.
+    ReleaseSent(ClientId, CallId, Micros),
+    /// Nothing waits on a connection that was not read.
+    ClientSilent(ClientId, CallId),
     LinkUp(LinkId),
     LinkLost(LinkId, LinkLoss),
     Answered(LinkId, CallId),
@@ -81,11 +89,16 @@
     copies: Option<Copies>,
     shared: Shared,
     links: Links,
+    clients: BTreeSet<ClientId>,
+    /// Releases that have not begun to leave.
+    unsent: BTreeSet<(ClientId, CallId)>,
     /// Effects that are not carried out yet.
     effects: VecDeque<Effect>,
     said: Vec<Said>,
     /// Until when what comes is taken in behind the last answer, once that is out.
     closed_by: Option<Micros>,
+    /// Until when others are waited for who are too few.
+    settled_by: Micros,
     polled: Micros,
 }
 
@@ -98,9 +111,12 @@
             copies: Some(Copies::new(end)),
             shared: Shared { clock },
             links: Links::default(),
+            clients: BTreeSet::new(),
+            unsent: BTreeSet::new(),
             effects: VecDeque::new(),
             said: Vec::new(),
             closed_by: None,
+            settled_by: 0,
             polled,
         }
     }
@@ -122,8 +138,17 @@
         let now = self.shared.clock.now();
         self.look_at_doubt(now);
         match input {
-            Input::ClientOpened(client) => self.core.client_opened(now, client, None),
-            Input::ClientClosed(client) => self.core.client_closed(now, client),
+            Input::ClientOpened(client) => {
+                self.clients.insert(client);
+                self.core.client_opened(now, client, None);
+            }
+            Input::ClientClosed(client) => {
+                self.clients.remove(&client);
+                self.unsent.retain(|(of, _)| *of != client);
+                self.core.client_closed(now, client);
+            }
+            Input::ReleaseSent(client, call, at) => self.core.release_sent(at, client, call),
+            Input::ClientSilent(client, call) => self.core.client_silent(now, client, call),
             Input::ClientPaused(client, inputs) => self.core.client_paused(now, client, inputs),
             Input::Offer(client, request) => self.core.offer(now, self.polled, client, request),
             Input::ReleaseHeard(client, call) => self.core.release_heard(now, client, call),
@@ -163,6 +188,11 @@
         self.look_at_copies();
     }
 
+    /// The first byte of a release has left.
+    pub fn release_leaves(&mut self, client: ClientId, call: CallId) {
+        self.unsent.remove(&(client, call));
+    }
+
     /// Whether it was held up between two effects.
     pub fn is_amid(&self) -> bool {
         !self.effects.is_empty()
@@ -178,6 +208,7 @@
         effect.into_iter().for_each(|effect| self.do_one(effect));
         if !any {
             self.copies.iter_mut().for_each(Copies::number_releases);
+            self.copies.iter_mut().for_each(Copies::answer_questions);
         }
         let posted = std::mem::take(&mut self.links.said);
         self.said.extend(posted);
@@ -188,20 +219,27 @@
     /// of `Owner::is_done`.
     pub fn is_done(&self, now: Micros) -> bool {
         let is_over = self.core.duty().answers_all_at().is_some_and(|at| now >= at);
-        let is_idle = self.core.connections() == 0 && self.core.duty().may_end(now);
+        let holds_answers = self.copies.as_ref().is_some_and(Copies::holds_answers);
+        let is_idle = self.core.connections() == 0 && self.core.duty().may_end(now) && !holds_answers;
         self.core.unanswered() == 0 && (is_over || is_idle)
     }
 
     /// Behind the last answer: whether the process is to go on for what still comes, as `Owner::flush` says.
     /// `open`: whether a caller's connection is.
     pub fn flushes(&mut self, now: Micros, callers: &[ClientId], open: bool) -> bool {
-        let ends_by = self.core.duty().ends_by().unwrap_or_default();
+        let ends_by = self.core.duty().ends_by().unwrap_or_default() - FAREWELL;
         if self.closed_by.is_none() {
+            let held = self.copies.as_mut().map(Copies::take_answers).unwrap_or_default();
+            held.into_iter().for_each(|answer| self.say(now, answer));
+            self.settled_by = (now + SETTLED_SHORT_WITHIN).min(ends_by);
             self.said.extend(callers.iter().map(|client| Said::Finish(*client)));
         }
         let closed_by = *self.closed_by.get_or_insert((now + CLOSING).min(ends_by));
         let late = self.core.unanswered() > 0;
-        late && now < ends_by || open && now < closed_by
+        let (settled, short) =
+            self.copies.as_ref().map_or((true, false), |copies| (copies.is_settled(), copies.is_short()));
+        let settles = now < if short { self.settled_by } else { ends_by } && !settled;
+        late && now < ends_by || open && now < closed_by || settles
     }
 
     pub fn has_finished(&self) -> bool {
@@ -224,6 +262,10 @@
         }
     }
 
+    fn holds_answer_to(&self, client: ClientId) -> bool {
+        self.copies.as_ref().is_some_and(|copies| copies.holds_answer_to(client))
+    }
+
     fn say(&mut self, now: Micros, effect: Effect) {
         if let Some(copies) = &self.copies {
             copies.trace_lease(&effect);
@@ -251,9 +293,22 @@
             }
             Effect::PassedOn { call } => self.copies.iter_mut().for_each(|copies| copies.passed_on(call)),
             Effect::Given { call } => self.copies.iter_mut().for_each(|copies| copies.given(call)),
+            Effect::Released { client, call, .. } => {
+                if self.clients.contains(&client) {
+                    self.unsent.insert((client, call));
+                }
+                self.said.push(Said::Caller(client, effect));
+            }
+            Effect::WithdrawRelease { client, call } => match self.unsent.remove(&(client, call)) {
+                true => self.core.release_withdrawn(now, client, call),
+                false => self.core.release_sent(now, client, call),
+            },
+            // It is let go of once it has its answer.
+            Effect::LetGo { client, .. } | Effect::Pause { client } if self.holds_answer_to(client) => {}
+            Effect::CloseIfPaused { client, .. } if self.holds_answer_to(client) => {}
             Effect::Answer { client, .. }
             | Effect::Final { client, .. }
-            | Effect::Released { client, .. }
+            | Effect::AskIfSilent { client, .. }
             | Effect::LetGo { client, .. }
             | Effect::Pause { client }
             | Effect::CloseIfPaused { client, .. }
--- a/rig/tests/delivery/ports.rs
+++ b/rig/tests/delivery/ports.rs
@@ -40,6 +40,7 @@
 pub mod copies {
     use std::sync::atomic::{AtomicU64, Ordering};
 
+    use steprelay_copies::member::Question;
     use steprelay_copies::{Call, Record};
     use steprelay_core::{Promise, ReleaseCause};
     use steprelay_decisions::{CallId, ServerId};
@@ -53,6 +54,7 @@
         All(Vec<(CallId, Promise)>),
         PassedOn(CallId),
         Given(CallId),
+        Confirmed(Question),
         Relinquished(Vec<CallId>),
     }
 
--- a/rig/tests/delivery/process.rs
+++ b/rig/tests/delivery/process.rs
@@ -130,6 +130,7 @@
                 }
                 Note::PassedOn(call) => self.member.passed_on(now, call.0),
                 Note::Given(call) => self.member.given(now, call.0),
+                Note::Confirmed(question) => self.member.confirm(question),
                 Note::Relinquished(calls) => {
                     self.member.relinquish(now, calls.into_iter().map(|call| call.0).collect());
                 }
@@ -161,6 +162,12 @@
         self.member.take_words()
     }
 
+    /// Its last turn: what was noted by now others are told ahead of the farewell.
+    pub fn last_copies_turn(&mut self, council: &mut Council, others: &[Other]) -> Vec<(String, Word)> {
+        self.ticked = 0;
+        self.copies_turn(council, others)
+    }
+
     /// Whether a note waits for the thread of copies.
     pub fn has_notes(&self) -> bool {
         !self.notes.is_empty()
--- a/rig/tests/delivery/world/lines.rs
+++ b/rig/tests/delivery/world/lines.rs
@@ -1,5 +1,7 @@
 //! Connections, and the servers and callers at their other ends.
 
+use std::collections::VecDeque;
+
 use rand::RngExt;
 use steprelay_decisions::Micros;
 
@@ -57,9 +59,11 @@
     }
 
     pub(super) fn send_to_member(&mut self, number: u64, what: ToMember) {
-        let at = self.now() + self.way() + self.late();
+        let comes = self.now() + self.way();
+        let at = comes + self.late();
         let Some(connection) = self.connections.get_mut(&number) else { return };
         connection.to_member = at.max(connection.to_member + 1);
+        connection.unread.push_back(comes.max(connection.unread.back().copied().unwrap_or(0)));
         let at = connection.to_member;
         self.at(at, Event::Arrives(number, what));
     }
@@ -76,6 +80,7 @@
             peer_open: true,
             half_closed: None,
             inputs: 0,
+            unread: VecDeque::new(),
             cut: false,
             deaf: false,
         };
--- a/rig/tests/delivery/world/members.rs
+++ b/rig/tests/delivery/world/members.rs
@@ -2,6 +2,7 @@
 
 use rand::RngExt;
 use steprelay_copies::member::Other;
+use steprelay_copies::words::Word;
 use steprelay_copies::Millis;
 use steprelay_core::{ClientId, Effect, LinkLoss, ReleaseCause, Request};
 use steprelay_decisions::{CallId, Micros, Report, ServerId};
@@ -103,6 +104,7 @@
     pub(super) fn arrives(&mut self, number: u64, what: ToMember) {
         let now = self.now();
         let Some(connection) = self.connections.get_mut(&number) else { return };
+        connection.unread.pop_front();
         let is_end = matches!(what, ToMember::Closed);
         if !connection.member_open || connection.cut && !is_end {
             return;
@@ -241,6 +243,7 @@
         if goes_on {
             return;
         }
+        self.last_copies_turn(member, boot);
         trace::line(0, || "ends in order".into());
         self.members[member] = None;
         self.council.leave(boot);
@@ -268,8 +271,25 @@
         let mut council = std::mem::take(&mut self.council);
         let words = self.running(member, boot).map(|process| process.copies_turn(&mut council, &others));
         self.council = council;
+        self.says_words(member, boot, words.unwrap_or_default());
+        let (late, late_turn) = (self.late(), self.late_copies());
+        self.owner_due(member, boot, late);
+        let next = TICK - now % TICK;
+        self.copies_due(member, boot, next as Micros * MS + late_turn);
+    }
+
+    fn last_copies_turn(&mut self, member: usize, boot: u64) {
+        let others = self.others(member);
+        let mut council = std::mem::take(&mut self.council);
+        let process = self.running(member, boot);
+        let words = process.map(|process| process.last_copies_turn(&mut council, &others));
+        self.council = council;
+        self.says_words(member, boot, words.unwrap_or_default());
+    }
+
+    fn says_words(&mut self, member: usize, boot: u64, words: Vec<(String, Word)>) {
         let Some(start) = self.running(member, boot).map(|process| process.start.clone()) else { return };
-        for (to, word) in words.unwrap_or_default() {
+        for (to, word) in words {
             let Some(to) = (0..MEMBERS).find(|place| format!("n{}", place + 1) == to) else { continue };
             let at = self.now() + self.way();
             let last = self.between.entry((member, to)).or_default();
@@ -277,10 +297,6 @@
             let at = *last;
             self.at(at, Event::Word(to, start.clone(), word));
         }
-        let (late, late_turn) = (self.late(), self.late_copies());
-        self.owner_due(member, boot, late);
-        let next = TICK - now % TICK;
-        self.copies_due(member, boot, next as Micros * MS + late_turn);
     }
 
     /// Members that are alive by what is known.
@@ -321,6 +337,8 @@
                     return;
                 };
                 let inputs = connection.inputs;
+                let is_silent = connection.unread.front().is_none_or(|at| *at > now);
+                let is_release = matches!(effect, Effect::Released { .. });
                 match effect {
                     Effect::Answer { call, .. } => self.send_to_peer(number, ToPeer::Accept(call.0)),
                     Effect::Final { call, .. } | Effect::Released { call, .. }
@@ -331,12 +349,20 @@
                         trace::line(call.0, || format!("gives its end to connection {number}"));
                         self.judge.call(call.0).given.push(given);
                         self.send_to_peer(number, ToPeer::End(call.0));
+                        if is_release {
+                            self.release_leaves(member, boot, client, call);
+                        }
                     }
                     Effect::LetGo { inputs: seen, .. } | Effect::CloseIfPaused { inputs: seen, .. }
                         if seen == inputs =>
                     {
                         self.half_close(number);
                     }
+                    Effect::AskIfSilent { client, call } if is_silent => {
+                        self.put(member, boot, Input::ClientSilent(client, call));
+                        let late = self.late();
+                        self.owner_due(member, boot, late.max(1));
+                    }
                     Effect::Pause { client } => {
                         self.put(member, boot, Input::ClientPaused(client, inputs));
                         let late = self.late();
@@ -348,6 +374,17 @@
             }
         }
     }
+
+    /// A release is written; the owner hears of it later.
+    fn release_leaves(&mut self, member: usize, boot: u64, client: ClientId, call: CallId) {
+        let now = self.now();
+        if let Some(process) = self.running(member, boot) {
+            process.owner.release_leaves(client, call);
+        }
+        self.put(member, boot, Input::ReleaseSent(client, call, now));
+        let late = self.late();
+        self.owner_due(member, boot, late.max(1));
+    }
 }
 
 fn request(call: u64, now: Micros) -> Request {
--- a/rig/tests/delivery/world/mod.rs
+++ b/rig/tests/delivery/world/mod.rs
@@ -5,7 +5,7 @@
 mod lines;
 mod members;
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
@@ -49,6 +49,8 @@
     /// The member says no more, and reads on until then.
     half_closed: Option<Micros>,
     inputs: u64,
+    /// When what was not read has come to the member's socket.
+    unread: VecDeque<Micros>,
     /// Nothing that is under way arrives any more.
     cut: bool,
     /// The peer reads nothing any more, and says nothing.
