--- a/core/src/tests/unclaimed.rs
+++ b/core/src/tests/unclaimed.rs
@@ -61,6 +61,19 @@
     assert_eq!(told(&stand.pass(RELEASED_WITHIN)), 0, "once");
 }
 
+/// Guards against a release that is given again by a successor: it has given it as one that was owed, and its
+/// caller has acknowledged it, when what the server said to this member, too, is read.
+#[test]
+fn an_adopted_release_that_was_acknowledged_is_not_given_again_on_its_servers_word() {
+    let mut stand = other_member();
+    stand.core.adopt(stand.now, CALL, Promise::Owed(ONE, RELEASE));
+    assert!(stand.effects().contains(&released(5, RELEASE)[0]));
+    stand.core.release_heard(stand.now, CALLER, CALL);
+    stand.core.take_effects();
+    assert_eq!(stand.end(ONE, 5, RELEASE), [], "nobody is asked");
+    assert_eq!(told(&stand.pass(RELEASED_WITHIN)), 0);
+}
+
 /// Guards against the other half: the member that has the call says so, or leaves it to the one that asks.
 #[test]
 fn claims_a_call_whose_caller_it_tells_and_drops_one_that_it_has_not_told() {
