--- a/core/src/promise.rs
+++ b/core/src/promise.rs
@@ -107,7 +107,6 @@
 
     /// Gives the release of a call that another call agent had.
     fn release_adopted(&mut self, now: Micros, server: ServerId, call: CallId, cause: ReleaseCause) {
-        self.book.note_over(call, Over::Answered);
         self.pass_on_to_members(call);
         // Its server may say it here too, once it was acknowledged.
         self.book.note_over(call, Over::Answered);
