--- a/agent/src/net/owner/replication.rs
+++ b/agent/src/net/owner/replication.rs
@@ -140,6 +140,12 @@
                     self.core.release_unclaimed(now, call);
                 }
             }
+            News::LeftTo(calls) => {
+                for call in calls.into_iter().map(copies::call) {
+                    trace::replicated(call, "left to the member that has announced it");
+                    self.core.yield_unclaimed(call);
+                }
+            }
             News::Given(calls) => {
                 for call in calls.into_iter().map(copies::call) {
                     trace::replicated(call, "over, as the member that told its caller says");
--- a/copies/src/member.rs
+++ b/copies/src/member.rs
@@ -8,7 +8,7 @@
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
-use handover::{Ended, EndedBy, Handing, Successor};
+use handover::{Ended, EndedBy, Handing, Successor, Teller};
 
 use crate::holder::Holder;
 use crate::placement::{holders, Place};
@@ -34,6 +34,8 @@
 const MOST_TELLINGS: usize = 256;
 /// The number of a word that answers another and is not confirmed itself.
 const ANSWER: u64 = 0;
+/// A release is left to a member that has announced it and is there after this: a lost one is known by then.
+const LEFT_FOR: Millis = 5_000;
 /// A stream that is over is put into the log so often until it is there.
 const SETTLE: Millis = 1_000;
 
@@ -83,6 +85,8 @@
     Confirm(Question),
     /// All other members have said of these calls, which they were told are over, what they had to say.
     AllTold(Vec<Call>),
+    /// Other members, which are there, have announced the end of these calls, and see to it.
+    LeftTo(Vec<Call>),
     /// Others have told the callers of these calls that they are over.
     Given(Vec<Call>),
     /// Of calls that were relinquished: the successor has told their callers nothing, and never will.
@@ -156,6 +160,8 @@
     overs: BTreeMap<Call, Ended>,
     over_order: VecDeque<Call>,
     passed_on: Vec<Call>,
+    /// Releases that came here too, of calls whose end another member has announced; since when.
+    left: BTreeMap<Call, (Teller, Millis)>,
     tellings: VecDeque<Telling>,
     handings: Vec<Handing>,
     /// Of this member's own stream of before.
@@ -194,6 +200,7 @@
             overs: BTreeMap::new(),
             over_order: VecDeque::new(),
             passed_on: Vec::new(),
+            left: BTreeMap::new(),
             tellings: VecDeque::new(),
             handings: Vec::new(),
             successor: None,
@@ -300,12 +307,13 @@
             Word::Over { count: ANSWER, calls } => {
                 for call in &calls {
                     self.remember(*call, Ended { at: now, by: EndedBy::Told });
+                    self.left.remove(call);
                 }
                 self.news.push_back(News::Given(calls));
             }
             Word::Over { count, calls } => {
                 for call in &calls {
-                    let by = EndedBy::Announced { name: from.into(), boot };
+                    let by = EndedBy::Announced(Teller { name: from.into(), boot });
                     self.remember(*call, Ended { at: now, by });
                 }
                 let precedence =
@@ -391,6 +399,7 @@
             }
         }
         self.look_at_authorities(now, known);
+        self.look_at_left(now);
         self.tell(now, known);
         let there = |name: &str, boot: u64| {
             known.others.iter().any(|other| (other.name.as_str(), other.boot) == (name, boot))
--- a/copies/src/member/handover.rs
+++ b/copies/src/member/handover.rs
@@ -2,7 +2,8 @@
 //! callers that their calls are over.
 
 use super::{
-    Authority, Member, News, Question, Telling, ANSWER, MOST_CALLS, MOST_REMEMBERED, REMEMBER, TOLD_FOR,
+    Authority, Member, News, Question, Telling, ANSWER, LEFT_FOR, MOST_CALLS, MOST_REMEMBERED, REMEMBER,
+    TOLD_FOR,
 };
 use crate::words::Word;
 use crate::writer::Writer;
@@ -32,12 +33,19 @@
 pub(super) enum EndedBy {
     /// This member's process: it has told the caller, or is about to.
     Here,
-    /// Another member, in this start of it, was about to.
-    Announced { name: String, boot: u64 },
+    /// Another member was about to.
+    Announced(Teller),
     /// Another member has told the caller.
     Told,
 }
 
+/// Another member, in one start of it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(super) struct Teller {
+    pub(super) name: String,
+    pub(super) boot: u64,
+}
+
 /// The end of a call.
 #[derive(Clone, Debug)]
 pub(super) struct Ended {
@@ -46,9 +54,16 @@
 }
 
 impl Member {
-    /// The process has given the release of a call that it did not know: others must hear that it is over.
+    /// The process gives, or is about to give, the release of a call that may be another's: others must hear
+    /// that it is over. Where a member that is there has announced the same before, that one alone is asked.
     pub fn passed_on(&mut self, now: Millis, call: Call) {
-        if !self.ended_here(call) {
+        if let Some(teller) = self.living_teller(call) {
+            self.count += 1;
+            let waiting = [teller.name.clone()].into();
+            let (count, until) = (self.count, now + TOLD_FOR);
+            self.tellings.push_back(Telling { count, calls: vec![call], waiting, said: None, until });
+            self.left.insert(call, (teller, now));
+        } else if !self.ended_here(call) {
             self.remember(call, Ended { at: now, by: EndedBy::Here });
             self.passed_on.push(call);
         }
@@ -59,12 +74,43 @@
         self.words.push((question.from, Word::OverHeard { count: question.count }));
     }
 
+    /// The member that has announced the end of a call, where it is there.
+    fn living_teller(&self, call: Call) -> Option<Teller> {
+        match &self.overs.get(&call)?.by {
+            EndedBy::Announced(teller) => Some(teller.clone()).filter(|teller| self.is_there(teller)),
+            EndedBy::Here | EndedBy::Told => None,
+        }
+    }
+
+    fn is_there(&self, teller: &Teller) -> bool {
+        self.boots.get(&teller.name) == Some(&teller.boot)
+    }
+
+    /// Decides on releases that were left to members that had announced them: who is lost gives none, and who
+    /// is there for longer than a lost one would be taken for it does.
+    pub(super) fn look_at_left(&mut self, now: Millis) {
+        for (call, (teller, since)) in std::mem::take(&mut self.left) {
+            if !self.is_there(&teller) {
+                self.passed_on(now, call);
+                self.news.push_back(News::AllTold(vec![call]));
+            } else if now >= since + LEFT_FOR {
+                self.news.push_back(News::LeftTo(vec![call]));
+            } else {
+                self.left.insert(call, (teller, since));
+            }
+        }
+    }
+
     /// Tells the process of calls whose end all others have confirmed.
     pub(super) fn finish_tellings(&mut self) {
         let all = std::mem::take(&mut self.tellings).into_iter();
         let (told, open): (Vec<Telling>, Vec<Telling>) = all.partition(|telling| telling.waiting.is_empty());
         self.tellings = open.into();
-        self.news.extend(told.into_iter().map(|telling| News::AllTold(telling.calls)));
+        for telling in told {
+            let calls: Vec<Call> =
+                telling.calls.into_iter().filter(|call| !self.left.contains_key(call)).collect();
+            self.news.push_back(News::AllTold(calls));
+        }
     }
 
     /// The process has told the caller of a call that it is over, which another member is about to do: it is
@@ -105,7 +151,7 @@
         let Some(ended) = self.overs.get(&call) else { return false };
         let is_pending = matches!(record, Some(Record::Owed { .. }));
         match &ended.by {
-            EndedBy::Announced { name, boot } => !is_pending || self.boots.get(name) == Some(boot),
+            EndedBy::Announced(teller) => !is_pending || self.is_there(teller),
             EndedBy::Here | EndedBy::Told => true,
         }
     }
--- a/copies/tests/handover.rs
+++ b/copies/tests/handover.rs
@@ -211,3 +211,20 @@
         assert_eq!(successor.contains(&News::Adopt(vec![(CALL, owed)])), lost, "{successor:?}");
     }
 }
+
+/// Guards against a release that two members give, one of which had heard that the other is about to: it is
+/// left to that one while it is there, and given here once it is lost.
+#[test]
+fn leaves_a_release_to_the_living_member_that_announced_it() {
+    for lost in [false, true] {
+        let mut pair = Pair::with_established_call();
+        pair.members[0].passed_on(pair.now, CALL);
+        pair.live(5);
+        pair.members[1].passed_on(pair.now, CALL);
+        pair.taken_for_lost = lost;
+        let [announcer, other] = pair.live(150);
+        assert_eq!(other.contains(&News::AllTold(vec![CALL])), lost, "{other:?}");
+        assert_eq!(other.contains(&News::LeftTo(vec![CALL])), !lost, "{other:?}");
+        assert!(lost || announcer.contains(&News::Over(vec![CALL], Precedence::Ours)), "it is asked");
+    }
+}
--- a/core/src/clients.rs
+++ b/core/src/clients.rs
@@ -18,9 +18,11 @@
 /// Each leaves time for another one in the second in which a caller is to have a release.
 const PATIENCE_TESTS_ONLY: Micros = 150_000;
 const PATIENCE_CALLING: Micros = 400_000;
-const PATIENCE_LISTENING: Micros = 800_000;
-/// Where acknowledgements take longer than that, since this machine or the callers' are far behind, so does the
-/// patience with callers, within this.
+const PATIENCE_LISTENING: Micros = 600_000;
+/// The same for the second and later connections that are given one release: the first took most of the second.
+const PATIENCE_REDELIVERED: Micros = 150_000;
+/// Where acknowledgements take longer than that, since this machine or the callers' are far behind, so does
+/// the patience with callers, within this.
 const MAX_PATIENCE: Micros = 4_000_000;
 
 /// Whoever calls are taken from and answered to: a caller's connection, or a peer of the M3UA front.
@@ -64,6 +66,8 @@
     proven: bool,
     /// When the latest release that it has acknowledged had left.
     acknowledged: Option<Micros>,
+    /// A release was not acknowledged in time, and nothing has come since.
+    silent: bool,
     /// It can be told nothing for now.
     away: bool,
     /// Its calls that wait for an answer, and those that stand.
@@ -93,10 +97,21 @@
     /// Takes in a connection; returns the one to let go of where there are too many.
     pub fn opened(&mut self, id: ClientId, peer: Option<Peer>, now: Micros) -> Option<ClientId> {
         let (heard, called, proven) = (None, None, id.is_bound());
-        let (opened, acknowledged, away) = (now, None, false);
+        let (opened, acknowledged, silent, away) = (now, None, false, false);
         let (inputs, open, standing) = (0, 0, 0);
-        let client =
-            Client { peer, opened, inputs, heard, called, proven, acknowledged, away, open, standing };
+        let client = Client {
+            peer,
+            opened,
+            inputs,
+            heard,
+            called,
+            proven,
+            acknowledged,
+            silent,
+            away,
+            open,
+            standing,
+        };
         self.clients.insert(id, client);
         let of_peer = |client: &Client| peer.is_some() && client.peer == peer;
         if self.clients.values().filter(|client| of_peer(client)).count() > self.bounds.connections_of_one {
@@ -140,6 +155,7 @@
     pub fn heard(&mut self, client: ClientId, now: Micros) {
         self.change(client, |client| {
             client.heard = Some(now);
+            client.silent = false;
             client.inputs += 1;
         });
     }
@@ -162,12 +178,20 @@
         self.change(client, |client| client.acknowledged = client.acknowledged.max(Some(sent)));
     }
 
-    /// Until when a caller's acknowledgement of a release that left at this time is waited for. A connection
-    /// that is known to listen is heard out for as long as it says anything, unless it has acknowledged a
+    /// It has not acknowledged a release in time: it comes last for others until it says something.
+    pub fn set_silent(&mut self, client: ClientId) {
+        self.change(client, |client| client.silent = true);
+    }
+
+    /// Until when a caller's acknowledgement of a release that left at this time is waited for; `deliveries`:
+    /// to so many connections by now. A connection that is known to listen is heard out for as long as it says anything, unless it has acknowledged a
     /// later release and so passed this one over.
-    pub fn patience_ends(&self, client: ClientId, sent: Micros) -> Micros {
+    pub fn patience_ends(&self, client: ClientId, sent: Micros, deliveries: usize) -> Micros {
         let Some(client) = self.clients.get(&client) else { return sent };
-        let patience = |least: Micros| least.max(self.round_trips.timeout()).min(MAX_PATIENCE);
+        let patience = |first: Micros| {
+            let least = if deliveries > 1 { PATIENCE_REDELIVERED } else { first };
+            least.max(self.round_trips.timeout()).min(MAX_PATIENCE)
+        };
         match (client.acknowledged, client.called) {
             (Some(latest), _) if latest <= sent => {
                 client.heard.map_or(sent, |heard| heard.max(sent)) + patience(PATIENCE_LISTENING)
@@ -243,7 +267,8 @@
     /// the call, else the connection that made it, else the one that made the latest call. One that has made
     /// none may be there for tests alone and not listen, so it comes last, and only if `untested` ones may.
     pub fn taker(&self, own: Option<ClientId>, given: &[ClientId], untested: bool) -> Option<ClientId> {
-        if let Some(own) = own.filter(|own| self.clients.contains_key(own) && !given.contains(own)) {
+        let listens = |own: &ClientId| self.clients.get(own).is_some_and(|client| !client.silent);
+        if let Some(own) = own.filter(|own| listens(own) && !given.contains(own)) {
             return Some(own);
         }
         if own.is_some_and(ClientId::is_bound) {
@@ -252,6 +277,7 @@
         let others = self.clients.iter().filter(|(id, client)| {
             !id.is_bound() && !given.contains(id) && (untested || client.called.is_some())
         });
-        others.max_by_key(|(_, client)| (client.called, client.heard, client.opened)).map(|(id, _)| *id)
+        let worth = |client: &Client| (!client.silent, client.called, client.heard, client.opened);
+        others.max_by_key(|(_, client)| worth(client)).map(|(id, _)| *id)
     }
 }
--- a/core/src/delivery.rs
+++ b/core/src/delivery.rs
@@ -135,7 +135,7 @@
     pub fn release_sent(&mut self, at: Micros, client: ClientId, call: CallId) {
         if let Some(release) = self.deliveries.with(client, call) {
             release.stage = Stage::Sent(at);
-            release.due = self.clients.patience_ends(client, at);
+            release.due = self.clients.patience_ends(client, at, release.given.len());
         }
     }
 
@@ -156,7 +156,8 @@
     pub fn client_silent(&mut self, now: Micros, client: ClientId, call: CallId) {
         let Some(release) = self.deliveries.with(client, call) else { return };
         let Stage::Sent(at) = release.stage else { return };
-        if now >= self.clients.patience_ends(client, at) {
+        if now >= self.clients.patience_ends(client, at, release.given.len()) {
+            self.clients.set_silent(client);
             self.redeliver(now, call);
         }
     }
@@ -225,7 +226,7 @@
                 self.effects.push(Effect::WithdrawRelease { client, call });
             }
             Stage::Sent(at) => {
-                let patience_ends = self.clients.patience_ends(client, at);
+                let patience_ends = self.clients.patience_ends(client, at, release.given.len());
                 if now < patience_ends {
                     release.due = patience_ends;
                     return;
--- a/core/src/unclaimed.rs
+++ b/core/src/unclaimed.rs
@@ -17,9 +17,9 @@
 /// Members get this long to say that they have given a release, where not all answer sooner. It leaves a
 /// fifth of the second in which a caller is to have it.
 const CLAIM_WITHIN: Micros = 800_000;
-/// A release that another member had said it will give is given here when not all members have answered for
-/// so long: within the 8 s in which a caller that can't be told sooner is told.
-const LEFT_CLAIM_WITHIN: Micros = 4_000_000;
+/// A release that another member had said it will give is given here when nothing is heard of that for so
+/// long: within the 8 s in which a caller that can't be told sooner is told.
+const LEFT_CLAIM_WITHIN: Micros = 7_000_000;
 
 #[derive(Clone, Copy, Debug)]
 struct Unclaimed {
