Cut a client for what it does not read, not for what our writer has not written yet

What callers saw: the connection of a client that reads all the time was cut with its answers in the send queue, beside "a client does not read, its connection is cut"; its set-ups got no answer.

Cause: one turn of the owner posts all that follows from it before any writer runs. With 1,024 refusals to one client the queue (128 KiB) was full, and Owner::tell took that for a client that does not read.

Change: the queue knows whether its writer waits for the connection to take more. While it does not, eight times as much may wait, which holds what one turn can post to a client (some 8,000 messages). Once the writer waits for the peer, the bound is what it was. Associations and servers keep theirs.

--- a/agent/src/front/m3ua/sockets.rs
+++ b/agent/src/front/m3ua/sockets.rs
@@ -34,7 +34,7 @@
 /// Serves one connection of a client, the `number`th there was.
 pub async fn serve(stream: TcpStream, number: u64, front: Handle) {
     let association = Association(number << 1);
-    let (outbox, inbox) = conn::channel(Capacity::CLIENT);
+    let (outbox, inbox) = conn::channel(Capacity::ASSOCIATION);
     front.tell(Told::Client(association, outbox)).await;
     carry(stream, association, inbox, &front).await;
     front.tell(Told::Closed(association)).await;
@@ -132,7 +132,7 @@
             Ok(stream) => {
                 numbers.set(numbers.get().wrapping_add(1));
                 let association = Association(numbers.get() << 1 | 1);
-                let (outbox, inbox) = conn::channel(Capacity::CLIENT);
+                let (outbox, inbox) = conn::channel(Capacity::ASSOCIATION);
                 front.tell(Told::Server(link, place, association, outbox)).await;
                 carry(stream, association, inbox, &front).await;
                 front.tell(Told::Closed(association)).await;
--- a/agent/src/ports/conn.rs
+++ b/agent/src/ports/conn.rs
@@ -136,7 +136,7 @@
     written: impl Fn(u64),
 ) -> io::Result<()> {
     while let Some(first) = inbox.next().await {
-        stream.writable().await?;
+        inbox.writes(stream.writable()).await?;
         let mut buffer = pool.take();
         let mut parts = Vec::new();
         let mut next = Some(first);
@@ -160,7 +160,7 @@
             }
             next = inbox.next_now();
         }
-        let taken = write_taken(stream, buffer.filled(), &parts).await;
+        let taken = inbox.writes(write_taken(stream, buffer.filled(), &parts)).await;
         pool.put(buffer);
         finish(inbox, &mut parts, taken?);
         written(parts.iter().filter(|part| part.message.is_attempt()).count() as u64);
--- a/agent/src/ports/conn/queue.rs
+++ b/agent/src/ports/conn/queue.rs
@@ -2,6 +2,7 @@
 
 use std::cell::{Cell, RefCell};
 use std::collections::VecDeque;
+use std::future::Future;
 use std::rc::Rc;
 
 use tokio::sync::Notify;
@@ -34,14 +35,22 @@
     /// Weight of everything else. It has room of its own: no flood of attempts keeps back a release, and
     /// none of releases an attempt.
     pub others: usize,
+    /// This many times as much may wait while the connection takes what is written. All that follows from one
+    /// turn of the owner is posted before the writer runs, which says nothing of the peer.
+    pub while_taken: usize,
 }
 
 impl Capacity {
-    /// Of a connection to a client, or of an association.
-    pub const CLIENT: Capacity = Capacity { messages: 4_096, attempts: 128 << 10, others: 128 << 10 };
+    /// Of an association.
+    pub const ASSOCIATION: Capacity =
+        Capacity { messages: 4_096, attempts: 128 << 10, others: 128 << 10, while_taken: 1 };
+    /// Of a connection to a client. One turn may refuse all that was read in it from one client and answer
+    /// all that this client has open, some 8,000 messages.
+    pub const CLIENT: Capacity = Capacity { while_taken: 8, ..Capacity::ASSOCIATION };
     /// Of a connection to a server. All that reaches the owner in one turn waits here before the writer has
     /// its own turn; what attempts hold altogether is bounded by the core's admission.
-    pub const SERVER: Capacity = Capacity { messages: 16_384, attempts: 1 << 20, others: 1 << 20 };
+    pub const SERVER: Capacity =
+        Capacity { messages: 16_384, attempts: 1 << 20, others: 1 << 20, while_taken: 1 };
 }
 
 struct Queue<M> {
@@ -54,6 +63,8 @@
     changed: Notify,
     cut: Rc<Notify>,
     outboxes: Cell<usize>,
+    /// The writer waits until the connection takes more.
+    is_blocked: Cell<bool>,
     inbox_is_gone: Cell<bool>,
 }
 
@@ -68,7 +79,9 @@
 
     fn has_room(&self, message: &M) -> bool {
         let (weight, most) = self.weight_like(message);
-        weight.get() + message.weight() <= most && self.messages.borrow().len() < self.capacity.messages
+        let times = if self.is_blocked.get() { 1 } else { self.capacity.while_taken };
+        weight.get() + message.weight() <= times * most
+            && self.messages.borrow().len() < times * self.capacity.messages
     }
 
     fn release(&self, message: &M) {
@@ -101,6 +114,7 @@
         changed: Notify::new(),
         cut: Rc::default(),
         outboxes: Cell::new(1),
+        is_blocked: Cell::default(),
         inbox_is_gone: Cell::default(),
     });
     (Outbox(queue.clone()), Inbox(queue))
@@ -188,6 +202,14 @@
         self.0.messages.borrow_mut().push_front(message);
     }
 
+    /// Writes: while this waits, the connection takes no more.
+    pub async fn writes<T>(&self, writing: impl Future<Output = T>) -> T {
+        self.0.is_blocked.set(true);
+        let written = writing.await;
+        self.0.is_blocked.set(false);
+        written
+    }
+
     /// A message that was taken was written, or is dropped.
     pub fn done(&self, message: &M) {
         self.0.release(message);
--- a/agent/src/ports/conn/queue/tests.rs
+++ b/agent/src/ports/conn/queue/tests.rs
@@ -22,7 +22,7 @@
     }
 }
 
-const FOUR_OF_EACH: Capacity = Capacity { messages: 100, attempts: 40, others: 40 };
+const FOUR_OF_EACH: Capacity = Capacity { messages: 100, attempts: 40, others: 40, while_taken: 1 };
 
 fn attempt() -> (Dispatch, Line) {
     let dispatch = Dispatch::default();
