Answer all and end while there is time, though turns are long or more keeps coming

What callers saw: a process told to stop ended after the kill's time, so that what it held was lost there.

Cause: Owner::run listened once more before it ended and stayed where anything was heard; with clients that go on, or servers and half lines that come all the time, that may be so each time. And with turns of 2 to 2.9 s the timer that answers all ran up to 2.4 s after its time.

Change: it listens on only while another turn like the last ends in time; what was heard in that one is answered ahead of the ends of connections. Past the time to end nothing more is heard. It holds since each wait is bounded by the time to end, less what this process itself was late by.

--- a/agent/src/net/owner.rs
+++ b/agent/src/net/owner.rs
@@ -49,6 +49,8 @@
     started: Micros,
     /// When the connections were last polled: what is read now has come since.
     polled: Micros,
+    /// How long its last turn took, while it is stopping: the next one may take as long.
+    turn: Micros,
     /// What clients that are told were last told of the servers' pressure, and when it is looked at again.
     pressure: u8,
     next_pressure: Micros,
@@ -68,6 +70,7 @@
             probes: BTreeMap::new(),
             started,
             polled: started,
+            turn: 0,
             pressure: 0,
             next_pressure: 0,
         }
@@ -117,9 +120,14 @@
             self.look_at_copies();
             self.carry_out();
             let now = self.shared.clock.now();
-            // What comes in the moment of leaving is taken all the same.
-            if self.is_done(now) && !self.settle(&mut queue).await {
-                break;
+            self.turn = now - began;
+            // What comes in the moment of leaving is taken all the same, while there is time for it.
+            if self.is_done(now) {
+                let more_came = self.settle(&mut queue).await;
+                self.turn = self.shared.clock.now() - began;
+                if !more_came || self.is_out_of_time() {
+                    break;
+                }
             }
             let starting = self.core.duty().state() == State::Starting;
             let waits = self.copies.as_ref().is_some_and(Copies::waits);
@@ -146,6 +154,7 @@
             }
             self.polled = self.shared.clock.now();
             self.core.wake(self.polled);
+            self.answer_all_in_time();
         }
         self.flush(&mut queue).await;
         let counts = self.core.counts();
@@ -161,10 +170,33 @@
         );
     }
 
+    /// Whether another turn like the last would end too late for what has to be done by then.
+    fn is_due(&self, now: Micros, by: Option<Micros>) -> bool {
+        by.is_some_and(|by| now + self.turn >= by)
+    }
+
+    /// Whether the process would not end in time after another turn.
+    fn is_out_of_time(&self) -> bool {
+        self.is_due(self.shared.clock.now(), self.core.duty().ends_by())
+    }
+
+    /// Whether the time to answer all has come, or will be over after another turn.
+    fn answers_all(&self, now: Micros) -> bool {
+        self.core.duty().may_end(now) && self.is_due(now, self.core.duty().answers_all_at())
+    }
+
+    /// Where turns take long, all that is open is answered in the last one that is in time for it: what the
+    /// kill finds unanswered is lost.
+    fn answer_all_in_time(&mut self) {
+        if self.answers_all(self.polled) {
+            self.core.answer_all(self.polled);
+        }
+    }
+
     /// Whether it was told to stop and nothing is open any more, or no more time is left for that.
     fn is_done(&self, now: Micros) -> bool {
         // What is answered at that time goes out ahead of the ends of connections.
-        let is_over = self.core.duty().answers_all_at().is_some_and(|at| now >= at);
+        let is_over = self.answers_all(now);
         let is_idle = self.core.connections() == 0 && self.core.duty().may_end(now);
         self.core.unanswered() == 0 && (is_over || is_idle)
     }
@@ -174,6 +206,8 @@
     async fn flush(&mut self, queue: &mut mpsc::Receiver<Input>) {
         let ends_by = self.core.duty().ends_by().unwrap_or_default();
         let closed_by = (self.shared.clock.now() + CLOSING).min(ends_by);
+        // What was heard in the last turn is answered ahead of the ends of connections.
+        self.carry_out();
         let callers = |owner: &Self| -> Vec<_> {
             let callers = owner.clients.iter().filter(|(client, _)| !client.is_bound());
             callers.map(|(_, outbox)| outbox.clone()).collect()
--- a/agent/src/net/owner/settle.rs
+++ b/agent/src/net/owner/settle.rs
@@ -70,14 +70,18 @@
 }
 
 impl Owner {
-    /// Takes in what waits, as far as it waited.
+    /// Takes in what waits, as far as it waited, and while there is time for it.
     pub(super) fn drain(&mut self, queue: &mut mpsc::Receiver<Input>) -> Drained {
         let waits = queue.len();
+        let ends_by = self.core.duty().ends_by();
         let mut drained = Drained { any: waits > 0, callers: BTreeSet::new() };
         for _ in 0..waits {
             let Ok(input) = queue.try_recv() else { break };
             drained.callers.extend(input.client());
             self.take(input);
+            if ends_by.is_some_and(|at| self.shared.clock.now() >= at) {
+                break;
+            }
         }
         drained
     }
@@ -88,6 +92,7 @@
     pub(super) async fn settle(&mut self, queue: &mut mpsc::Receiver<Input>) -> bool {
         let mut any = false;
         let until = self.shared.clock.now() + SETTLE_WITHIN;
+        let ends_by = self.core.duty().ends_by().unwrap_or(Micros::MAX);
         let mut turns = 0;
         while turns < MOST_TURNS {
             turns += 1;
@@ -96,8 +101,9 @@
             let drained = self.drain(queue);
             any |= drained.any;
             self.deferred.unheard = drained.callers;
-            let is_over = !drained.any || self.shared.clock.now() >= until;
-            if turns >= LEAST_TURNS && is_over {
+            let now = self.shared.clock.now();
+            let is_over = !drained.any || now >= until;
+            if turns >= LEAST_TURNS && is_over || now >= ends_by {
                 break;
             }
         }
--- a/agent/src/net/owner/tests.rs
+++ b/agent/src/net/owner/tests.rs
@@ -13,6 +13,7 @@
 
 mod failover;
 mod settle;
+mod stopping;
 
 const SERVER: ServerId = ServerId(1);
 const CALL: CallId = CallId(7);
--- a/agent/src/net/owner/tests/settle.rs
+++ b/agent/src/net/owner/tests/settle.rs
@@ -8,7 +8,7 @@
 
 /// Has the owner settle while a peer's messages keep coming, each of which takes the runtime long to read;
 /// the turns that it waited.
-fn settle_beside(owner: &mut Owner, message: impl Fn() -> Input + 'static) -> usize {
+pub(super) fn settle_beside(owner: &mut Owner, message: impl Fn() -> Input + 'static) -> usize {
     let clock = owner.shared.clock;
     let (inputs, mut queue) = mpsc::channel(8);
     let turns = Rc::new(Cell::new(0));
@@ -45,7 +45,7 @@
     (owner, callers, to_server, other)
 }
 
-fn flood() -> Input {
+pub(super) fn flood() -> Input {
     Input::ClientTested { client: ClientId(1), call: CALL }
 }
 
--- a/core/src/send.rs
+++ b/core/src/send.rs
@@ -230,7 +230,7 @@
     }
 
     /// Gives every call that is open its final answer now: a refusal where nothing was sent for it.
-    pub(super) fn answer_all(&mut self, now: Micros) {
+    pub fn answer_all(&mut self, now: Micros) {
         for call in self.pending.keys().copied().collect::<Vec<_>>() {
             let Some(pending) = self.pending.get(&call) else { continue };
             let (out, attempts) = (pending.out, pending.attempts);
