Tell two attempts of one call apart in the soak's fake servers

The checker said of a good call that its client was not told of its release. Cause: the fake servers kept an open call by its id alone. An attempt that was given up was answered and released once the same call had come to the same server again, and that release then ended the new attempt.

--- a/rig/src/soak/servers.rs
+++ b/rig/src/soak/servers.rs
@@ -1,6 +1,6 @@
 //! Stand-ins of check servers: they answer in their own time, and release what stands after a while.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -33,8 +33,10 @@
     record: Record,
     random: RefCell<StdRng>,
     connections: RefCell<BTreeMap<u64, Writer>>,
-    /// Established calls; one is taken out by whichever side ends it first.
-    established: RefCell<BTreeMap<u64, ()>>,
+    /// Open and established calls, each with its latest attempt; one is taken out by whichever side ends it
+    /// first.
+    established: RefCell<BTreeMap<u64, u64>>,
+    attempts: Cell<u64>,
     /// Releases without an acknowledgement: they are sent again on the next connection that is opened.
     pending_releases: RefCell<BTreeMap<u64, ()>>,
 }
@@ -51,6 +53,7 @@
         random: RefCell::new(StdRng::seed_from_u64(seed ^ u64::from(number) << 32)),
         connections: RefCell::default(),
         established: RefCell::default(),
+        attempts: Cell::default(),
         pending_releases: RefCell::default(),
     });
     spawn_local(async move {
@@ -144,18 +147,23 @@
             }
         };
         let holds = self.random.borrow_mut().random_range(HOLDS);
-        self.established.borrow_mut().insert(call, ());
+        // A call may come again once its attempt here was given up: that is another one.
+        let attempt = self.attempts.get() + 1;
+        self.attempts.set(attempt);
+        self.established.borrow_mut().insert(call, attempt);
+        let takes =
+            || self.established.borrow_mut().extract_if(call..=call, |_, at| *at == attempt).count() == 1;
         sleep(millis(delay)).await;
-        if !self.established.borrow().contains_key(&call) {
+        if self.established.borrow().get(&call) != Some(&attempt) {
             return;
         }
         let answer = json!({"op": "accept", "call": hex(call), "with": {}, "desc": "v=1"});
         if !say(&writer, answer).await {
-            self.established.borrow_mut().remove(&call);
+            takes();
             return;
         }
         sleep(millis(holds)).await;
-        if self.established.borrow_mut().remove(&call).is_none() {
+        if !takes() {
             return;
         }
         self.pending_releases.borrow_mut().insert(call, ());
