Note a client's release in the soak once it is written

The checker said of a good call that its server was not told of its client's release. Cause: the soak's client noted the release when it had read the answer. Where the end of its connection was read along with it, it wrote nothing more, so that the release never left.

No test of its own: the soak's checker is where it shows.

--- a/rig/src/soak/clients.rs
+++ b/rig/src/soak/clients.rs
@@ -57,6 +57,7 @@
             next_call: &mut next_call,
             received: Vec::new(),
             replies: Vec::new(),
+            releases: Vec::new(),
             open: BTreeSet::new(),
             looked: record.now(),
         };
@@ -78,6 +79,8 @@
     /// Part of a line, and whole lines that are to be written.
     received: Vec<u8>,
     replies: Vec<u8>,
+    /// Established calls whose release is among these.
+    releases: Vec<u64>,
     /// Set-ups without an answer.
     open: BTreeSet<u64>,
     /// When the connection was last seen to be open, with nothing left to be read.
@@ -109,6 +112,9 @@
         self.read()?;
         let replies = std::mem::take(&mut self.replies);
         self.write(&replies).await?;
+        for call in self.releases.drain(..) {
+            self.record.note(What::ClientReleased { call });
+        }
         if Instant::now() >= *due {
             *due = Instant::now() + millis(self.client.every);
             self.call().await?;
@@ -149,8 +155,8 @@
                 self.record.note(What::Answered { call, answer: Answer::Accepted });
                 self.open.remove(&call);
                 if self.random.random_ratio(1, RELEASES) {
-                    self.record.note(What::ClientReleased { call });
                     self.replies.extend(line("end", call));
+                    self.releases.push(call);
                 }
             }
             Some("end") if self.open.remove(&call) => {
