Count the time to the kill from SIGTERM's coming, not from its being read

What callers saw: a process in the middle of a long turn counted its kill from when it came to read the signal, and so answered and ended too late; and it sent on set-ups that came more than 0.7 s after SIGTERM and can't be carried to their end.

Cause: the task that hears of SIGTERM took the time when the runtime ran it, behind the turn under way.

Change: a thread of its own waits for the signal and takes the time. What is left is the time in which the machine does not run the thread.

The test holds the runtime until the moment was taken; it fails where the runtime's own task takes it.

--- a/agent/src/serve.rs
+++ b/agent/src/serve.rs
@@ -9,9 +9,10 @@
 use std::sync::Arc;
 
 use steprelay_core::Core;
+use steprelay_decisions::Micros;
 use tokio::net::{TcpListener, TcpStream, UdpSocket};
 use tokio::signal::unix::{signal, Signal, SignalKind};
-use tokio::sync::{mpsc, watch, Semaphore};
+use tokio::sync::{mpsc, oneshot, watch, Semaphore};
 use tokio::task::spawn_local;
 use tokio::time::{sleep, Duration};
 
@@ -64,18 +65,18 @@
     let heard_later = fleet.as_ref().is_some_and(|fleet| fleet.copies.is_some());
     let shared = Shared { calls, heard_later, ..Shared::new(clock, site.clone(), inputs) };
     let m3ua = m3ua.map(|named| m3ua::start(named, shared.clone(), &config.name)).transpose()?;
-    let mut terminate = signal(SignalKind::terminate())?;
+    let terminated = first_sigterm(clock)?;
     let stop = shared.inputs.clone();
     let (accepting, accepts) = watch::channel(Accepts::All);
     // Where the socket is inherited, SIGTERM comes when another process has it too.
     let replaced = config.inherited.is_some();
     spawn_local(async move {
-        if terminate.recv().await.is_some() {
+        if let Ok(at) = terminated.await {
             // Before anything else: what still waits in its queue is for the other process.
             if replaced {
                 accepting.send_replace(Accepts::None);
             }
-            let _ = stop.send(Input::Stop { replaced, at: clock.now() }).await;
+            let _ = stop.send(Input::Stop { replaced, at }).await;
             sleep(LAST_CONNECTION).await;
             accepting
                 .send_if_modified(|accepts| std::mem::replace(accepts, Accepts::Waiting) == Accepts::All);
@@ -138,6 +139,23 @@
     Ok(())
 }
 
+/// When the first SIGTERM comes. A thread of its own takes the time: the runtime's may be busy with a long
+/// turn, and the kill counts from the signal and not from its being read.
+fn first_sigterm(clock: Clock) -> io::Result<oneshot::Receiver<Micros>> {
+    let (sender, receiver) = oneshot::channel();
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_io().build()?;
+    let mut terminate = {
+        let _entered = runtime.enter();
+        signal(SignalKind::terminate())?
+    };
+    std::thread::Builder::new().name("signals".into()).spawn(move || {
+        if runtime.block_on(terminate.recv()).is_some() {
+            let _ = sender.send(clock.now());
+        }
+    })?;
+    Ok(receiver)
+}
+
 /// Reads the configuration again each time SIGHUP comes. The notice board may move while calls go on; what
 /// else differs is for the next start.
 async fn reread(
@@ -214,3 +232,6 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests;
