--- a/agent/src/net/owner/tests.rs
+++ b/agent/src/net/owner/tests.rs
@@ -15,6 +15,7 @@
 mod failover;
 mod settle;
 mod shutdown;
+mod stopping;
 
 const SERVER: ServerId = ServerId(1);
 const CALL: CallId = CallId(7);
