Judge a server's silence only by what was read of its connections

A turn of this process that was late was held against servers: a connection was taken for silent, closed as unproven, or an M3UA association ended for a heartbeat, by the clock of the turn, while what the server had said in time could lie unread in its socket.

Owner::settle notes the time before which all that had arrived was read, and Links::watch judges by that. A verdict that is due by the clock alone has the sockets read at once (are_overdue), and is then taken again. The new test fails with the rule taken out, by each of the four verdicts' first. Only the clock of verdicts changes: their limits stay.

Not shown: that a caller lost a call by this.

--- a/agent/src/net/links.rs
+++ b/agent/src/net/links.rs
@@ -161,8 +161,9 @@
         (PAUSES * self.longest).max(of_all.rare()).clamp(SOON, LATE)
     }
 
-    fn is_silent(&self, of_all: Pauses, now: Micros) -> bool {
-        self.owes.is_some_and(|since| now - since >= self.patience(of_all))
+    /// From when on it is silent, where it owes a word.
+    fn silent_from(&self, of_all: Pauses) -> Option<Micros> {
+        self.owes.map(|since| since + self.patience(of_all))
     }
 
     /// It owes nothing, and has brought nothing for longer than it lately did, or than the limit for a
@@ -277,6 +278,25 @@
     epochs: u64,
     pauses: Pauses,
     opening: bool,
+    /// A server's time for a word is over, by a clock that is ahead of what was read of its connections.
+    overdue: bool,
+}
+
+/// What the silence of a server is measured by.
+#[derive(Clone, Copy)]
+pub struct Silence {
+    pub now: Micros,
+    /// All that had arrived by then was read. What a peer has said since may wait in its socket: a late turn
+    /// of this process is not the peer's silence.
+    pub read_until: Micros,
+}
+
+impl Silence {
+    /// Whether it has lasted until then, as far as is known; `overdue` where that has to be read first.
+    fn lasts(self, until: Micros, overdue: &mut bool) -> bool {
+        *overdue |= self.now >= until && self.read_until < until;
+        self.read_until >= until
+    }
 }
 
 impl Links {
@@ -339,7 +359,15 @@
         !self.links.values().any(|link| matches!(link.state, State::Dialling(..)) && link.lost.is_none())
     }
 
+    /// Whether what has arrived has to be read before a silence is judged.
+    pub fn are_overdue(&self) -> bool {
+        self.overdue
+    }
+
     pub fn next_due(&self) -> Option<Micros> {
+        if self.overdue {
+            return Some(0);
+        }
         let times = self.links.values().filter_map(|link| match link.state {
             State::Down(at) => Some(at),
             State::Up(_) => link.follow_up,
@@ -443,7 +471,8 @@
     }
 
     /// Looks for connections that are silent. `stand` tells where calls stand.
-    pub fn watch(&mut self, now: Micros, stand: impl Fn(ServerId) -> bool) -> Vec<Watch> {
+    pub fn watch(&mut self, silence: Silence, stand: impl Fn(ServerId) -> bool) -> Vec<Watch> {
+        let (now, mut overdue) = (silence.now, false);
         let mut found = Vec::new();
         for (&server, link) in &mut self.links {
             let is_up = matches!(link.state, State::Up(_));
@@ -455,11 +484,8 @@
                 }
             }
             if let Some(former) = link.former.as_ref().filter(|former| !former.is_well()) {
-                let over = match former.proof {
-                    Some(at) => now >= at + GRACE,
-                    None => now >= former.since + NO_PROOF,
-                };
-                if over {
+                let until = former.proof.map_or(former.since + NO_PROOF, |at| at + GRACE);
+                if silence.lasts(until, &mut overdue) {
                     let out = link.former.take().map(|former| former.conn.end()).unwrap_or_default();
                     found.push(Watch::Reset(server, out));
                     found.extend(link.relieve(server, &mut self.epochs, now));
@@ -468,7 +494,8 @@
             }
             let State::Up(conn) = &mut link.state else { continue };
             let this = LinkId { server, epoch: conn.epoch };
-            if !conn.is_silent(self.pauses, now) {
+            let silent_from = conn.silent_from(self.pauses);
+            if !silent_from.is_some_and(|from| silence.lasts(from, &mut overdue)) {
                 if conn.is_quiet(self.pauses, now) && stand(server) {
                     found.push(Watch::Test(this));
                 }
@@ -483,13 +510,14 @@
                     link.beat = Some(now);
                     found.push(Watch::Test(this));
                 }
-                (Way::M3ua(_), Some(at)) if now >= at + BEAT => {
+                (Way::M3ua(_), Some(at)) if silence.lasts(at + BEAT, &mut overdue) => {
                     link.lost = Some(now);
                     found.push(Watch::Reset(server, link.end(State::Down(now))));
                 }
                 (Way::M3ua(_), Some(_)) => {}
             }
         }
+        self.overdue = overdue;
         found
     }
 
--- a/agent/src/net/links/tests.rs
+++ b/agent/src/net/links/tests.rs
@@ -7,6 +7,11 @@
 const MS: Micros = 1_000;
 const AT: ServerId = ServerId(1);
 
+/// All that has arrived by now was read.
+fn at(now: Micros) -> Silence {
+    Silence { now, read_until: now }
+}
+
 /// The end of a connection that takes what is posted.
 fn open() -> Outbox<ToServer> {
     let (outbox, inbox) = conn::channel(conn::Capacity::SERVER);
@@ -48,8 +53,8 @@
             if after.is_some() {
                 break;
             }
-            assert!(links.watch(now, |_| false).is_empty(), "nothing stands there");
-            let found = links.watch(now, |_| true);
+            assert!(links.watch(at(now), |_| false).is_empty(), "nothing stands there");
+            let found = links.watch(at(now), |_| true);
             for found in found {
                 assert!(matches!(found, Watch::Test(tested) if tested == id));
                 assert!(links.test(id, CallId(ms as u64), now));
@@ -80,7 +85,7 @@
 }
 
 fn relief(links: &mut Links, now: Micros) -> Option<LinkId> {
-    links.watch(now, |_| false).into_iter().find_map(|found| match found {
+    links.watch(at(now), |_| false).into_iter().find_map(|found| match found {
         Watch::Relieve(id, _) => Some(id),
         _ => None,
     })
@@ -100,7 +105,7 @@
         now += MS;
         links.heard(second, None, true, now);
         now += GRACE;
-        let found = links.watch(now, |_| false);
+        let found = links.watch(at(now), |_| false);
         let [Watch::Reset(AT, calls), Watch::Relieve(third, _)] = &found[..] else {
             panic!("the first is closed, and one more opened");
         };
@@ -109,7 +114,7 @@
         now += MS;
         links.heard(second, None, true, now);
         links.heard(*third, None, true, now);
-        assert!(links.watch(now + GRACE, |_| false).is_empty(), "both are well and stay");
+        assert!(links.watch(at(now + GRACE), |_| false).is_empty(), "both are well and stay");
     }
 }
 
@@ -221,3 +226,58 @@
     let said: Vec<_> = std::iter::from_fn(|| inbox.next_now()).filter(|said| !said.is_cancelled()).collect();
     assert!(matches!(said[..], [ToServer::GiveUp(CallId(4))]), "{said:?}");
 }
+
+/// Looks for silence at this time with all read that had arrived until then, or until an earlier time.
+fn verdicts(links: &mut Links, now: Micros, read_until: Micros) -> Vec<Watch> {
+    links.watch(Silence { now, read_until }, |_| false)
+}
+
+/// Guards against a turn of this process that was late and is taken for a server's silence: what was said in
+/// time lay in the socket, and an association or a connection was closed with all that was out on it.
+#[test]
+fn a_late_turn_is_no_silence_of_a_server() {
+    type Silent = fn() -> (Links, Micros);
+    let owes: Silent = || {
+        let mut links = links();
+        links.post(AT, set_up(1), 0).expect("it is up");
+        (links, SOON)
+    };
+    let unproven: Silent = || {
+        let mut links = links();
+        links.post(AT, set_up(1), 0).expect("it is up");
+        let second = relief(&mut links, SOON).expect("silent");
+        links.up(second, open(), SOON);
+        (links, SOON + NO_PROOF)
+    };
+    let proven: Silent = || {
+        let mut links = links();
+        links.post(AT, set_up(1), 0).expect("it is up");
+        let second = relief(&mut links, SOON).expect("silent");
+        links.up(second, open(), SOON);
+        links.heard(LinkId { server: AT, epoch: 2 }, None, true, 2 * SOON);
+        (links, 2 * SOON + GRACE)
+    };
+    let beat: Silent = || {
+        let mut links = Links { pauses: Pauses(Some((MS, 0))), ..Links::default() };
+        links.listed(AT, Way::M3ua(0), 0);
+        let (id, _) = links.due(0)[0];
+        links.up(id, open(), 0);
+        links.post(AT, set_up(1), 0).expect("it is up");
+        assert!(matches!(verdicts(&mut links, SOON, SOON)[..], [Watch::Test(tested)] if tested == id));
+        (links, SOON + BEAT)
+    };
+    for (silent, name) in [(owes, "owes"), (unproven, "no proof"), (proven, "proof"), (beat, "heartbeat")] {
+        let first = LinkId { server: AT, epoch: 1 };
+        for speaks in [true, false] {
+            let (mut links, over) = silent();
+            let late = over + 5_000 * MS;
+            assert!(verdicts(&mut links, late, over - MS).is_empty(), "{name}: judged before it was read");
+            assert!(links.are_overdue() && links.next_due() == Some(0), "{name}: read at once");
+            if speaks {
+                links.heard(first, Some(CallId(1)), false, late);
+            }
+            assert_eq!(verdicts(&mut links, late, late).is_empty(), speaks, "{name}, speaks {speaks}");
+            assert!(!links.are_overdue(), "{name}: judged");
+        }
+    }
+}
--- a/agent/src/net/owner.rs
+++ b/agent/src/net/owner.rs
@@ -15,7 +15,7 @@
 use settle::Deferred;
 
 use super::copies::{Copies, CopiesEnd};
-use super::links::{Links, Watch};
+use super::links::{Links, Silence, Watch};
 use crate::ports::conn::Outbox;
 use crate::ports::dispatch::Dispatch;
 use crate::ports::{Input, LinkId, OnDuty, Shared, Snapshot, ToClient, ToServer, Way};
@@ -49,6 +49,8 @@
     started: Micros,
     /// When the connections were last polled: what is read now has come since.
     polled: Micros,
+    /// All that had arrived by then was read.
+    read_until: Micros,
     /// What clients that are told were last told of the servers' pressure, and when it is looked at again.
     pressure: u8,
     next_pressure: Micros,
@@ -68,6 +70,7 @@
             probes: BTreeMap::new(),
             started,
             polled: started,
+            read_until: started,
             pressure: 0,
             next_pressure: 0,
         }
@@ -140,7 +143,7 @@
             began = self.shared.clock.now();
             self.drain(&mut queue);
             let now = self.shared.clock.now();
-            let is_due = self.core.next_wake().is_some_and(|at| at <= now);
+            let is_due = self.core.next_wake().is_some_and(|at| at <= now) || self.links.are_overdue();
             if self.core.sends() || self.links.opens() || is_due || !self.deferred.is_empty() {
                 self.settle(&mut queue).await;
             }
@@ -387,7 +390,8 @@
         if starting && (self.links.are_settled() || now >= self.started + READY_WITHIN) {
             self.core.on_duty(now, |duty| duty.ready());
         }
-        for found in self.links.watch(now, |server| self.core.stands_at(server)) {
+        let silence = Silence { now, read_until: self.read_until };
+        for found in self.links.watch(silence, |server| self.core.stands_at(server)) {
             match found {
                 Watch::Test(link) => self.test(link),
                 Watch::Relieve(link, way) => {
--- a/agent/src/net/owner/settle.rs
+++ b/agent/src/net/owner/settle.rs
@@ -87,7 +87,8 @@
     /// there was any.
     pub(super) async fn settle(&mut self, queue: &mut mpsc::Receiver<Input>) -> bool {
         let mut any = false;
-        let until = self.shared.clock.now() + SETTLE_WITHIN;
+        let began = self.shared.clock.now();
+        let until = began + SETTLE_WITHIN;
         let mut turns = 0;
         while turns < MOST_TURNS {
             turns += 1;
@@ -105,6 +106,7 @@
             self.deferred.unheard.clear();
         }
         self.deferred.count_turns(turns);
+        self.read_until = began;
         any
     }
 
