--- a/agent/src/net/copies.rs
+++ b/agent/src/net/copies.rs
@@ -303,9 +303,8 @@
 
     /// Whether an answer to this client waits.
     pub fn holds_answer_to(&self, client: ClientId) -> bool {
-        let is_for =
-            |waiting: &Waiting| matches!(waiting.effect, Effect::Answer { client: of, .. } if of == client);
-        self.answers.values().any(is_for)
+        let mut answers = self.answers.values().map(|waiting| &waiting.effect);
+        answers.any(|effect| matches!(effect, Effect::Answer { client: of, .. } if *of == client))
     }
 
     pub fn holds_answers(&self) -> bool {
@@ -319,8 +318,8 @@
         answers.into_values().map(|waiting| waiting.effect).collect()
     }
 
-    /// Whether others hold all that callers were told of calls that are over, and servers were told that it was
-    /// heard: else a successor, or another member whom a server tells, gives a release again.
+    /// Whether others hold all that callers were told of calls that are over, and servers were told that it
+    /// was heard: else a successor, or another member whom a server tells, gives a release again.
     pub fn is_settled(&self) -> bool {
         let told = self.heard.front().is_none_or(|(number, ..)| *number > self.settled_by);
         !self.behind && self.came.is_empty() && self.covered >= self.settled_by && told
--- a/copies/src/member/handover.rs
+++ b/copies/src/member/handover.rs
@@ -55,9 +55,11 @@
 
 impl Member {
     /// The process gives, or is about to give, the release of a call that may be another's: others must hear
-    /// that it is over. Where a member that is there has announced the same before, that one alone is asked.
+    /// that it is over. Where a member that is there, and whose name comes first, has announced the same
+    /// before, that one alone is asked.
     pub fn passed_on(&mut self, now: Millis, call: Call) {
-        if let Some(teller) = self.living_teller(call) {
+        let precedes = |teller: &Teller| teller.name < self.name;
+        if let Some(teller) = self.living_teller(call).filter(precedes) {
             self.count += 1;
             let waiting = [teller.name.clone()].into();
             let (count, until) = (self.count, now + TOLD_FOR);
--- a/core/src/clients.rs
+++ b/core/src/clients.rs
@@ -19,7 +19,7 @@
 const PATIENCE_TESTS_ONLY: Micros = 150_000;
 const PATIENCE_CALLING: Micros = 400_000;
 const PATIENCE_LISTENING: Micros = 600_000;
-/// The same for the second and later connections that are given one release: the first took most of the second.
+/// The same for the later connections that are given one release: the first took most of the second.
 const PATIENCE_REDELIVERED: Micros = 150_000;
 /// Where acknowledgements take longer than that, since this machine or the callers' are far behind, so does
 /// the patience with callers, within this.
@@ -184,8 +184,8 @@
     }
 
     /// Until when a caller's acknowledgement of a release that left at this time is waited for; `deliveries`:
-    /// to so many connections by now. A connection that is known to listen is heard out for as long as it says anything, unless it has acknowledged a
-    /// later release and so passed this one over.
+    /// to so many connections by now. A connection that is known to listen is heard out for as long as it says
+    /// anything, unless it has acknowledged a later release and so passed this one over.
     pub fn patience_ends(&self, client: ClientId, sent: Micros, deliveries: usize) -> Micros {
         let Some(client) = self.clients.get(&client) else { return sent };
         let patience = |first: Micros| {
--- a/core/src/unclaimed.rs
+++ b/core/src/unclaimed.rs
@@ -3,8 +3,8 @@
 //! A server says a release again on the next open connection, whoever's it is, when the connection that took
 //! it ends unconfirmed. The call may be another member's, who has given the release or is about to. So all
 //! members are told first that it will be given here: one that has the call drops it, and one that has told
-//! its caller already says so. Once all have answered, or their time is over, and none has said so, the release
-//! is given. Where two members were told of it, the one whose name comes first gives it.
+//! its caller already says so. Once all have answered, or their time is over, and none has said so, the
+//! release is given. Where two members were told of it, the one whose name comes first gives it.
 
 use std::cmp::Reverse;
 use std::collections::BTreeMap;
