--- a/core/src/clients.rs
+++ b/core/src/clients.rs
@@ -183,8 +183,8 @@
         self.change(client, |client| client.silent = true);
     }
 
-    /// Until when a caller's acknowledgement of a release that left at this time is waited for; `deliveries`:
-    /// to so many connections by now. A connection that is known to listen is heard out for as long as it says
+    /// Until when the acknowledgement of a release that left at this time is waited for; `deliveries`: to so
+    /// many connections by now. A connection that is known to listen is heard out for as long as it says
     /// anything, unless it has acknowledged a later release and so passed this one over.
     pub fn patience_ends(&self, client: ClientId, sent: Micros, deliveries: usize) -> Micros {
         let Some(client) = self.clients.get(&client) else { return sent };
