Move the end of a stopping process and the carrying out of effects out of owner.rs

No behaviour changes: owner/stopping.rs holds when a process may end, what it answers before that and what others have to know; owner/effects.rs carries out what the core wants done. owner.rs falls from 662 to 427 lines.

--- a/agent/src/net/owner.rs
+++ b/agent/src/net/owner.rs
@@ -4,14 +4,16 @@
 use std::rc::Rc;
 
 use steprelay_core::duty::State;
-use steprelay_core::{Breach, ClientId, Core, Effect, LinkLoss, NotSent, SetUp, Source};
+use steprelay_core::{Breach, ClientId, Core, LinkLoss, NotSent, Source};
 use steprelay_decisions::{CallId, Entry, ListKind, Micros, Readiness, ServerId};
 use tokio::sync::mpsc;
-use tokio::time::{sleep, sleep_until, Duration};
+use tokio::time::sleep_until;
 
 mod delivery;
+mod effects;
 mod replication;
 mod settle;
+mod stopping;
 
 use delivery::UnsentReleases;
 use settle::Deferred;
@@ -19,17 +21,11 @@
 use super::copies::{Copies, CopiesEnd};
 use super::links::{Links, Silence, Watch};
 use crate::ports::conn::Outbox;
-use crate::ports::dispatch::Dispatch;
-use crate::ports::{Input, LinkId, OnDuty, Shared, Snapshot, ToClient, ToServer, Way};
+use crate::ports::{Input, LinkId, OnDuty, Shared, Snapshot, ToClient, Way};
 use crate::trace;
 
 /// It looks so often whether all is answered.
 const LOOK: Micros = 20_000;
-/// Callers get this long to close their side once all is answered.
-const CLOSING: Micros = 400_000;
-
-/// Where too few other members can take copies, they are waited for this long before the end.
-const SETTLED_SHORT_WITHIN: Micros = 1_000_000;
 
 /// It serves once each server listed at the start was dialled with some end, and after this in any case.
 const READY_WITHIN: Micros = 1_000_000;
@@ -190,91 +186,6 @@
         self.core.duty().ends_by()
     }
 
-    /// Whether another turn like the last would end too late for what has to be done by then.
-    fn is_due(&self, now: Micros, by: Option<Micros>) -> bool {
-        by.is_some_and(|by| now + self.turn >= by)
-    }
-
-    /// Whether the process would not end in time after another turn.
-    fn is_out_of_time(&self) -> bool {
-        self.is_due(self.shared.clock.now(), self.core.duty().ends_by())
-    }
-
-    /// Whether the time to answer all has come, or will be over after another turn.
-    fn answers_all(&self, now: Micros) -> bool {
-        self.core.duty().may_end(now) && self.is_due(now, self.core.duty().answers_all_at())
-    }
-
-    /// Where turns take long, all that is open is answered in the last one that is in time for it: what the
-    /// kill finds unanswered is lost.
-    fn answer_all_in_time(&mut self) {
-        if self.answers_all(self.polled) {
-            self.core.answer_all(self.polled);
-        }
-    }
-
-    /// Whether it was told to stop and nothing is open any more, or no more time is left for that.
-    fn is_done(&self, now: Micros) -> bool {
-        // What is answered at that time goes out ahead of the ends of connections.
-        let is_over = self.answers_all(now);
-        let holds_answers = self.copies.as_ref().is_some_and(Copies::holds_answers);
-        let is_idle = self.core.connections() == 0 && self.core.duty().may_end(now) && !holds_answers;
-        self.core.unanswered() == 0 && (is_over || is_idle)
-    }
-
-    /// Lets the last answers leave, and ends the callers' connections behind them. What ends calls is taken
-    /// in until each caller has closed its side, too, and until others know what callers have acknowledged.
-    async fn flush(&mut self, queue: &mut mpsc::Receiver<Input>) {
-        let ends_by = self.core.duty().ends_by().unwrap_or_default() - self.farewell;
-        let began = self.shared.clock.now();
-        let closed_by = (began + CLOSING).min(ends_by);
-        let settled_by = (began + SETTLED_SHORT_WITHIN).min(ends_by);
-        // What was heard in the last turn is answered ahead of the ends of connections.
-        self.carry_out();
-        let callers = |owner: &Self| -> Vec<_> {
-            let callers = owner.clients.iter().filter(|(client, _)| !client.is_bound());
-            callers.map(|(_, outbox)| outbox.clone()).collect()
-        };
-        let held = self.copies.as_mut().map(Copies::take_answers).unwrap_or_default();
-        held.into_iter().for_each(|answer| self.say(began, answer));
-        for outbox in callers(self) {
-            outbox.post(ToClient::Finish);
-        }
-        let waits = |owner: &Self| {
-            owner.shared.unwritten.get() > 0 || owner.clients.values().any(|outbox| !outbox.is_flushed())
-        };
-        loop {
-            let now = self.shared.clock.now();
-            let open = callers(self).iter().any(|outbox| !outbox.is_closed());
-            // A set-up may come where a last answer is slow to leave.
-            let late = waits(self) || self.core.unanswered() > 0;
-            let by = if self.copies.as_ref().is_some_and(Copies::is_short) { settled_by } else { ends_by };
-            let settles = now < by && !self.is_settled();
-            if !(late && now < ends_by || open && now < closed_by || settles) {
-                break;
-            }
-            sleep(Duration::from_millis(5)).await;
-            self.settle(queue).await;
-            self.polled = self.shared.clock.now();
-            self.core.wake(self.polled);
-            self.keep_links();
-            self.look_at_copies();
-            self.carry_out();
-        }
-    }
-
-    /// Whether an answer to this client waits until others know of it.
-    fn holds_answer_to(&self, client: ClientId) -> bool {
-        self.copies.as_ref().is_some_and(|copies| copies.holds_answer_to(client))
-    }
-
-    /// Whether other members and servers know what callers have acknowledged, where promises are copied.
-    fn is_settled(&self) -> bool {
-        let settled =
-            |copies: &Copies| copies.is_settled() && self.core.unclaimed() == 0 && self.links.are_flushed();
-        self.copies.as_ref().is_none_or(settled)
-    }
-
     pub fn take(&mut self, input: Input) {
         let now = self.shared.clock.now();
         trace::came(&input);
@@ -509,153 +420,6 @@
             self.probes.insert(call, (link.server, now));
         }
     }
-
-    fn carry_out(&mut self) {
-        self.do_all();
-        // Behind what takes them back.
-        self.send_deferred();
-        self.do_all();
-        if let Some(copies) = &mut self.copies {
-            copies.number_releases();
-            copies.answer_questions();
-        }
-    }
-
-    fn do_all(&mut self) {
-        loop {
-            let effects = self.core.take_effects();
-            if effects.is_empty() {
-                break;
-            }
-            for effect in effects {
-                self.do_one(effect);
-            }
-        }
-    }
-
-    fn do_one(&mut self, effect: Effect) {
-        let now = self.shared.clock.now();
-        trace::goes(&self.core, now, &effect);
-        if self.copies.is_some() {
-            self.look_at_doubt(now);
-            if let Effect::Released { call, .. } = &effect {
-                if self.copies.as_mut().is_some_and(|copies| copies.expire_doubted_answer(*call)) {
-                    return self.core.withdraw_answer(now, *call);
-                }
-                self.copies.iter_mut().for_each(|copies| copies.release_leaves(*call));
-                let first = self.copies.as_mut().and_then(|copies| copies.answer_first(*call));
-                first.into_iter().for_each(|effect| self.say(now, effect));
-            }
-            if let Some(effect) = self.copies.as_mut().and_then(|copies| copies.hold(now, effect)) {
-                self.say(now, effect);
-            }
-            return;
-        }
-        self.say(now, effect);
-    }
-
-    fn say(&mut self, now: Micros, effect: Effect) {
-        if let Some(copies) = &self.copies {
-            copies.trace_lease(&effect);
-        }
-        match effect {
-            Effect::SetUp { server, set_up } => {
-                self.deferred.withdraw(set_up.call);
-                let attempt = self.core.attempt_of(set_up.call);
-                if attempt.is_some_and(|(client, _)| self.deferred.waits_for(client)) {
-                    return self.deferred.put(server, set_up);
-                }
-                self.send(server, set_up);
-            }
-            // It has not left.
-            Effect::GiveUp { call, .. } if self.deferred.withdraw(call) => {}
-            Effect::GiveUp { server, call } => {
-                let _ = self.links.post(server, ToServer::GiveUp(call), now);
-            }
-            Effect::Withdraw { server, call } => {
-                let waited = self.copies.as_mut().is_some_and(|copies| copies.withdraw(call));
-                if waited || self.deferred.withdraw(call) || self.links.withdraw(server, call) {
-                    self.not_sent(now, server, call, NotSent::Withdrawn);
-                }
-            }
-            Effect::Release { server, call, cause } => {
-                let _ = self.links.post(server, ToServer::Release(call, cause), now);
-            }
-            Effect::Probe { server } => {
-                let call = self.shared.new_call();
-                self.probes.retain(|_, (_, sent)| now - *sent < 10_000_000);
-                if self.links.post(server, ToServer::Probe(call), now).is_ok() {
-                    self.probes.insert(call, (server, now));
-                }
-            }
-            Effect::Answer { client, call, description } => {
-                self.tell(client, ToClient::Answer { call, description })
-            }
-            Effect::Final { client, call, verdict } => self.tell(client, ToClient::Final { call, verdict }),
-            Effect::Released { client, call, cause } => self.give_release(client, call, cause),
-            Effect::WithdrawRelease { client, call } => self.withdraw_release(now, client, call),
-            Effect::AskIfSilent { client, call } => self.post(client, ToClient::AskIfSilent(call)),
-            // It is let go of once it has its answer.
-            Effect::LetGo { client, .. } | Effect::Pause { client } if self.holds_answer_to(client) => {}
-            Effect::CloseIfPaused { client, .. } if self.holds_answer_to(client) => {
-                self.post(client, ToClient::Resume);
-            }
-            Effect::LetGo { client, inputs } => self.post(client, ToClient::LetGo { inputs }),
-            Effect::Pause { client } => self.post(client, ToClient::Pause),
-            Effect::CloseIfPaused { client, inputs } => self.post(client, ToClient::CloseIfPaused { inputs }),
-            Effect::Resume { client } => self.post(client, ToClient::Resume),
-            Effect::Close { client } => {
-                if let Some(outbox) = self.clients.get(&client) {
-                    outbox.cut();
-                }
-            }
-            Effect::Log(text) => eprintln!("steprelay: {text}"),
-            Effect::Promised { call, promise, by } => {
-                if let Some(copies) = &mut self.copies {
-                    copies.note(call, promise, by);
-                }
-            }
-            Effect::PassedOn { call } => {
-                if let Some(copies) = &mut self.copies {
-                    copies.passed_on(call);
-                }
-            }
-            Effect::Given { call } => {
-                if let Some(copies) = &mut self.copies {
-                    copies.given(call);
-                }
-            }
-        }
-    }
-
-    fn send(&mut self, server: ServerId, set_up: SetUp) {
-        let (now, call) = (self.shared.clock.now(), set_up.call);
-        // Its server may have been told to drain since this was decided.
-        let message = ToServer::SetUp(set_up, Dispatch::default());
-        let posted = match self.core.is_ready(server) {
-            true => self.links.post(server, message, now),
-            false => Err(NotSent::Withdrawn),
-        };
-        if let Err(reason) = posted {
-            self.not_sent(now, server, call, reason);
-        }
-    }
-
-    /// Puts a message on its way that is not missed where it finds no room: it is said again.
-    fn post(&self, client: ClientId, message: ToClient) {
-        if let Some(outbox) = self.clients.get(&client) {
-            outbox.post(message);
-        }
-    }
-
-    fn tell(&mut self, client: ClientId, message: ToClient) {
-        if self.clients.get(&client).is_some_and(|outbox| !outbox.post(message)) {
-            if let Some(outbox) = self.clients.remove(&client) {
-                eprintln!("steprelay: a client does not read, its connection is cut");
-                outbox.cut();
-            }
-        }
-    }
 }
 
 #[cfg(test)]
--- a/agent/src/net/owner/tests.rs
+++ b/agent/src/net/owner/tests.rs
@@ -5,11 +5,13 @@
 use crate::ports::conn::{self, Inbox, Weight};
 use crate::ports::copies;
 use crate::ports::copies::Lease;
+use crate::ports::ToServer;
 use std::sync::Arc;
 use steprelay_copies::member::News;
-use steprelay_core::{Bounds, ReleaseCause, Request, Verdict};
+use steprelay_core::{Bounds, Effect, ReleaseCause, Request, Verdict};
 use steprelay_decisions::{Cause, Report, Settings};
 use steprelay_settings::Site;
+use tokio::time::Duration;
 
 mod delivery;
 mod failover;
