--- a/agent/tests/m3ua.rs
+++ b/agent/tests/m3ua.rs
@@ -6,6 +6,7 @@
 use std::collections::BTreeMap;
 use std::io::{self, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::sync::atomic::{AtomicU8, Ordering};
 use std::sync::{mpsc, Arc, Mutex};
 use std::time::{Duration, Instant};
 
@@ -300,6 +301,15 @@
     [&circuit.to_le_bytes()[..], &[RLC, 0]].concat()
 }
 
+/// Listens as an M3UA server, on an address that no other story is given: a program goes on dialling a server
+/// after that is gone, and its port on a shared address may be another story's by then.
+fn listen() -> TcpListener {
+    static NEXT: AtomicU8 = AtomicU8::new(1);
+    let [_, _, high, low] = std::process::id().to_be_bytes();
+    let address = [127, 0x80 | high, low, NEXT.fetch_add(1, Ordering::Relaxed)];
+    TcpListener::bind(SocketAddr::from((address, 0))).expect("a port")
+}
+
 /// The front's file: one client, and a server at this address with the second place among all.
 fn m3ua(server: Option<SocketAddr>, wait_ms: u32) -> String {
     let mut text = format!(
@@ -499,7 +509,7 @@
 
 #[test]
 fn a_caller_of_the_platform_reaches_a_server_over_m3ua() {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let listener = listen();
     let (agent, _) = start(&[], m3ua(Some(listener.local_addr().expect("bound")), 5000));
     let mut server = Peer::accept(&listener);
     let mut caller = agent.caller();
@@ -566,7 +576,7 @@
     let book: Book = Book::default();
     let platform = Server::new();
     let board = TcpListener::bind("127.0.0.1:0").expect("a port");
-    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let listener = listen();
     let mut setting = Setting::new(&[platform.address]);
     setting.board = Some(board.local_addr().expect("bound"));
     setting.m3ua = Some(m3ua(Some(listener.local_addr().expect("bound")), 8000));
@@ -736,7 +746,7 @@
 
 #[test]
 fn the_program_passes_the_conformance_suite_as_a_peer() {
-    let nobody = TcpListener::bind("127.0.0.1:0").expect("a port").local_addr().expect("bound");
+    let nobody = listen().local_addr().expect("bound");
     let (_agent, address) = start(&[], m3ua(Some(nobody), 5000));
     let suite = std::process::Command::new(env!("CARGO_BIN_EXE_steprelay"))
         .args(["conformance", "--json", "--address", &address.to_string()])
@@ -781,8 +791,7 @@
 
 #[test]
 fn a_server_whose_association_dies_answers_on_the_other() {
-    let (one, two) = (TcpListener::bind("127.0.0.1:0"), TcpListener::bind("127.0.0.1:0"));
-    let (one, two) = (one.expect("a port"), two.expect("a port"));
+    let (one, two) = (listen(), listen());
     let siblings = format!("siblings = ['{}']\nmode = 'loadshare'", two.local_addr().expect("bound"));
     let text = with(m3ua(Some(one.local_addr().expect("bound")), 5000), "number = 1", &siblings);
     let (agent, _) = start(&[], text);
@@ -877,7 +886,7 @@
 
 #[test]
 fn after_a_restart_the_circuits_of_a_server_are_asked_for_and_its_calls_go_on() {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let listener = listen();
     let text =
         with(m3ua(Some(listener.local_addr().expect("bound")), 5000), "number = 1", "on_start = 'query'")
             .replace("circuits = 40", "circuits = 2");
@@ -909,7 +918,7 @@
 #[test]
 fn calls_that_stood_when_the_program_was_killed_are_released_by_either_side() {
     let mut platform = AttentiveServer::new();
-    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let listener = listen();
     let path =
         std::path::PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(format!("{}.redb", std::process::id()));
     let _ = std::fs::remove_file(&path);
@@ -978,7 +987,7 @@
 #[test]
 fn a_server_that_calls_too_and_both_seize_circuits_at_once() {
     let at = Server::new();
-    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let listener = listen();
     let keys = "calls_as = 'lembah-realty'\ncontrols = 'odd'";
     let text = with(m3ua(Some(listener.local_addr().expect("bound")), 5000), "number = 1", keys);
     let (mut agent, _) = start(&[at.address], text);
@@ -1016,7 +1025,7 @@
 
 #[test]
 fn what_becomes_of_servers_is_told_to_clients_that_are_active_or_ask() {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let listener = listen();
     let (_agent, address) = start(&[], m3ua(Some(listener.local_addr().expect("bound")), 5000));
     let code = SERVER.0.to_be_bytes();
     let mut server = Peer::new(listener.accept().expect("a connection").0, SERVER);
