--- a/rig/tests/delivery/net/owner.rs
+++ b/rig/tests/delivery/net/owner.rs
@@ -9,6 +9,7 @@
 
 use super::copies::{Copies, CopiesEnd};
 use crate::ports::{Clock, LinkId, ToServer};
+use crate::trace;
 
 #[path = "../../../../agent/src/net/owner/replication.rs"]
 mod replication;
@@ -137,6 +138,7 @@
     pub fn take(&mut self, input: Input) {
         let now = self.shared.clock.now();
         self.look_at_doubt(now);
+        trace_input(&input);
         match input {
             Input::ClientOpened(client) => {
                 self.clients.insert(client);
@@ -270,6 +272,7 @@
         if let Some(copies) = &self.copies {
             copies.trace_lease(&effect);
         }
+        trace_effect(&effect);
         match effect {
             Effect::SetUp { server, set_up } => {
                 let call = set_up.call;
@@ -318,3 +321,25 @@
         }
     }
 }
+
+fn trace_input(input: &Input) {
+    match input {
+        Input::ReleaseSent(_, call, _)
+        | Input::ReleaseHeard(_, call)
+        | Input::ClientSilent(_, call)
+        | Input::Ended(_, call, _) => trace::line(call.0, || format!("{input:?}")),
+        _ => {}
+    }
+}
+
+fn trace_effect(effect: &Effect) {
+    match effect {
+        Effect::Released { call, .. }
+        | Effect::WithdrawRelease { call, .. }
+        | Effect::AskIfSilent { call, .. }
+        | Effect::PassedOn { call }
+        | Effect::Given { call }
+        | Effect::Promised { call, .. } => trace::line(call.0, || format!("{effect:?}")),
+        _ => {}
+    }
+}
