--- a/rig/tests/delivery/world/faults.rs
+++ b/rig/tests/delivery/world/faults.rs
@@ -9,12 +9,15 @@
 use super::{Connection, Event, Peer, ToMember, ToPeer, World, MS};
 use crate::net::owner::Input;
 use crate::plan::Fault;
-use crate::process::Strike;
+use crate::process::{Strike, DEADLINE};
 use crate::trace;
 
 /// A strike that waits for effects comes after this at the latest.
 const STRIKES_WITHIN: Micros = 50 * MS;
 
+/// A process that was told to stop is killed so long after: the longest deadline and 0.7 s (protocol page).
+const KILLED_AFTER_STOP: Micros = DEADLINE + 700 * MS;
+
 impl World {
     pub(super) fn fault(&mut self, fault: Fault) {
         let now = self.now();
@@ -37,6 +40,7 @@
                 trace::line(0, || "told to stop".into());
                 let late = self.late();
                 self.owner_due(member, boot, late);
+                self.at(now + KILLED_AFTER_STOP, Event::Sigkill(member, boot));
             }
             Fault::Cut { of_servers, draw } => {
                 let fits = |connection: &Connection| {
@@ -111,22 +115,31 @@
                 self.at(now + time, Event::Wake(member, boot));
             }
             Strike::Kill => {
-                let start = process.start.clone();
-                self.members[member] = None;
-                self.judge.killed.insert(boot, now);
-                self.excuse_unknown(boot);
-                self.unnoticed.push(((now / 1_000) as Millis, start));
-                self.end_connections(boot);
-                // What it had taken is not judged further than its release: callers see their connection end.
-                if self.rng.random_bool(0.5) {
-                    let back = now + self.rng.random_range(300 * MS..6_000 * MS);
-                    self.quiet_from = self.quiet_from.max(back);
-                    self.at(back, Event::Start(member));
-                }
+                self.kill(member, boot);
             }
         }
     }
 
+    /// A process is killed, whether it gets its processor or not. Callers see their connections end.
+    pub(super) fn kill(&mut self, member: usize, boot: u64) {
+        let now = self.now();
+        let there = self.members[member].as_ref().filter(|process| process.start.boot == boot);
+        let Some(start) = there.map(|process| process.start.clone()) else { return };
+        trace::turn_of(|| format!("{now} n{} ({boot})", member + 1));
+        trace::line(0, || "killed".into());
+        self.members[member] = None;
+        self.asleep.remove(&member);
+        self.judge.killed.insert(boot, now);
+        self.excuse_unknown(boot);
+        self.unnoticed.push(((now / 1_000) as Millis, start));
+        self.end_connections(boot);
+        if self.rng.random_bool(0.5) {
+            let back = now + self.rng.random_range(300 * MS..6_000 * MS);
+            self.quiet_from = self.quiet_from.max(back);
+            self.at(back, Event::Start(member));
+        }
+    }
+
     /// Calls whose end the lost start gave, and of which no other member can know that it was heard: those
     /// that hold the most of the stream hold a record of the call.
     pub(super) fn excuse_unknown(&mut self, boot: u64) {
--- a/rig/tests/delivery/world/mod.rs
+++ b/rig/tests/delivery/world/mod.rs
@@ -95,6 +95,7 @@
     ReleaseDue(usize, u64),
     Fault(Fault),
     StrikeDue(usize, u64),
+    Sigkill(usize, u64),
     Wake(usize, u64),
     Start(usize),
 }
@@ -254,6 +255,7 @@
             }
             Event::Fault(fault) => self.fault(fault),
             Event::StrikeDue(member, boot) => self.strike(member, boot),
+            Event::Sigkill(member, boot) => self.kill(member, boot),
             Event::Wake(member, boot) => self.wake(member, boot),
             Event::Start(member) => self.start(member),
         }
