Give a release that a lost member owed for a call that stood at another lost member

A caller's release was lost where two members were lost and succeeded by the same one.

An owed release ends a call that stands here, as one that is handed over does. The unit test fails without it.

--- a/core/src/promise.rs
+++ b/core/src/promise.rs
@@ -124,6 +124,10 @@
     pub fn adopt(&mut self, now: Micros, call: CallId, promise: Promise) {
         // What another member was about to tell the caller, it has not told by its own last word.
         let is_untold = matches!(promise, Promise::Owed(..)) && self.is_left_to_another(call);
+        // Its server has told the other one that it is over, and tells nobody again.
+        if matches!(promise, Promise::Owed(..)) && self.relay.stands(call).is_some() {
+            return self.handed(now, call, Some(promise));
+        }
         if self.is_known(call) && !is_untold {
             return self.promise(call, self.promise_of(call), None);
         }
--- a/core/src/tests/unclaimed.rs
+++ b/core/src/tests/unclaimed.rs
@@ -62,6 +62,19 @@
     assert_eq!(told(&stand.pass(RELEASED_WITHIN)), 0, "once");
 }
 
+/// Guards against a release that nobody gives: the member that had the call and the one that its server told
+/// of the end are both lost, and succeeded here in this order.
+#[test]
+fn gives_a_release_that_one_lost_member_owed_for_a_call_that_stood_at_another() {
+    let mut stand = other_member();
+    stand.core.adopt(stand.now, CALL, Promise::Stands(ONE));
+    stand.core.adopt(stand.now, CALL, Promise::Owed(ONE, RELEASE));
+    let given = stand.effects().iter().filter(|effect| **effect == released(5, RELEASE)[0]).count();
+    assert_eq!((given, stand.core.standing()), (1, 0));
+    stand.core.release_heard(stand.now, CALLER, CALL);
+    assert_eq!(told(&stand.pass(RELEASED_WITHIN)), 0, "once");
+}
+
 /// Guards against a release that is given again by a successor: it has given it as one that was owed, and its
 /// caller has acknowledged it, when what the server said to this member, too, is read.
 #[test]
