--- a/agent/src/net/copies.rs
+++ b/agent/src/net/copies.rs
@@ -179,6 +179,7 @@
     pub fn all(&mut self, promised: Vec<(CallId, Promise)>) {
         self.behind = false;
         self.say(Note::All(promised));
+        self.settled_by = self.noted;
     }
 
     /// What is not to go out yet is kept; all else comes back.
@@ -311,11 +312,16 @@
         !self.answers.is_empty()
     }
 
-    /// The answers that wait, where no time is left for that: whether others know or not.
-    pub fn take_answers(&mut self) -> Vec<Effect> {
-        let answers = std::mem::take(&mut self.answers);
-        self.uncopied += answers.len() as u64;
-        answers.into_values().map(|waiting| waiting.effect).collect()
+    /// The answers that wait, where no time is left for that, whether others know or not; and those that were
+    /// held in doubt, which are never given, of calls whose callers no successor can have told anything.
+    pub fn take_answers(&mut self) -> (Vec<Effect>, Vec<Effect>) {
+        let (doubted, held): (BTreeMap<_, _>, BTreeMap<_, _>) =
+            std::mem::take(&mut self.answers).into_iter().partition(|(call, _)| self.doubts(*call));
+        self.uncopied += held.len() as u64;
+        let is_out = |call: &CallId| self.doubt.as_ref().is_some_and(|doubt| doubt.out.contains(call));
+        let failed = doubted.into_iter().filter(|(call, _)| is_out(call));
+        let failed = failed.map(|(_, waiting)| waiting.effect).collect();
+        (held.into_values().map(|waiting| waiting.effect).collect(), failed)
     }
 
     /// Whether others hold all that callers were told of calls that are over, and servers were told that it
--- a/agent/src/net/owner/delivery.rs
+++ b/agent/src/net/owner/delivery.rs
@@ -7,6 +7,7 @@
 use steprelay_decisions::{CallId, Micros};
 
 use super::Owner;
+use crate::ports::conn::Outbox;
 use crate::ports::dispatch::Dispatch;
 use crate::ports::ToClient;
 
@@ -38,6 +39,11 @@
         self.core.release_sent(at, client, call);
     }
 
+    /// Whether a connection takes nothing more for now.
+    pub(super) fn is_blocked(&self, client: ClientId) -> bool {
+        self.clients.get(&client).is_some_and(Outbox::is_blocked)
+    }
+
     /// Takes a release back from a connection that takes nothing.
     pub(super) fn withdraw_release(&mut self, now: Micros, client: ClientId, call: CallId) {
         match self.unsent.0.remove(&(client, call)) {
--- a/agent/src/net/owner/effects.rs
+++ b/agent/src/net/owner/effects.rs
@@ -93,6 +93,10 @@
             Effect::Final { client, call, verdict } => self.tell(client, ToClient::Final { call, verdict }),
             Effect::Released { client, call, cause } => self.give_release(client, call, cause),
             Effect::WithdrawRelease { client, call } => self.withdraw_release(now, client, call),
+            // Behind what the connection does not take it would never be asked.
+            Effect::AskIfSilent { client, call } if self.is_blocked(client) => {
+                self.core.client_silent(now, client, call);
+            }
             Effect::AskIfSilent { client, call } => self.post(client, ToClient::AskIfSilent(call)),
             // It is let go of once it has its answer.
             Effect::LetGo { client, .. } | Effect::Pause { client } if self.holds_answer_to(client) => {}
--- a/agent/src/net/owner/stopping.rs
+++ b/agent/src/net/owner/stopping.rs
@@ -61,8 +61,9 @@
             let callers = owner.clients.iter().filter(|(client, _)| !client.is_bound());
             callers.map(|(_, outbox)| outbox.clone()).collect()
         };
-        let held = self.copies.as_mut().map(Copies::take_answers).unwrap_or_default();
+        let (held, failed) = self.copies.as_mut().map(Copies::take_answers).unwrap_or_default();
         held.into_iter().for_each(|answer| self.say(began, answer));
+        self.give_up(began, failed);
         for outbox in callers(self) {
             outbox.post(ToClient::Finish);
         }
--- a/agent/src/ports/conn/queue.rs
+++ b/agent/src/ports/conn/queue.rs
@@ -172,6 +172,11 @@
         self.0.inbox_is_gone.get()
     }
 
+    /// Whether the writer waits until the connection takes more.
+    pub fn is_blocked(&self) -> bool {
+        self.0.is_blocked.get()
+    }
+
     /// Whether nothing waits to be written.
     pub fn is_flushed(&self) -> bool {
         self.0.attempts.get() + self.0.others.get() == 0 || self.is_closed()
--- a/agent/tests/m3ua.rs
+++ b/agent/tests/m3ua.rs
@@ -1139,11 +1139,13 @@
             leaves.now(client, 5)
         })
     } else {
+        let reset = Instant::now();
         drop(at_one);
         // It has been told of the reset when it dials again; the gap is 200 ms.
         let _at_one = one.accept();
         let rest = agent.held(|| {
             if at_two.has_unread() {
+                assert!(reset.elapsed() >= Duration::from_millis(200), "{leaves:?}: within the gap");
                 return None;
             }
             pass(Duration::from_millis(300));
--- a/copies/src/member/handover.rs
+++ b/copies/src/member/handover.rs
@@ -94,7 +94,9 @@
         for (call, (teller, since)) in std::mem::take(&mut self.left) {
             if !self.is_there(&teller) {
                 self.passed_on(now, call);
-                self.news.push_back(News::AllTold(vec![call]));
+                if !self.left.contains_key(&call) {
+                    self.news.push_back(News::AllTold(vec![call]));
+                }
             } else if now >= since + LEFT_FOR {
                 self.news.push_back(News::LeftTo(vec![call]));
             } else {
@@ -154,7 +156,9 @@
         let is_pending = matches!(record, Some(Record::Owed { .. }));
         match &ended.by {
             EndedBy::Announced(teller) => !is_pending || self.is_there(teller),
-            EndedBy::Here | EndedBy::Told => true,
+            // The process knows whether it has told the caller, or has left that to another since.
+            EndedBy::Here => !is_pending,
+            EndedBy::Told => true,
         }
     }
 
@@ -167,6 +171,13 @@
             }
             Some(before) if before.by == EndedBy::Here => before.at = now,
             Some(before) if before.by == EndedBy::Told && ended.by != EndedBy::Here => before.at = now,
+            // Of two members that have announced it the one gives it whose name comes first.
+            Some(Ended { at, by: EndedBy::Announced(first) })
+                if matches!(&ended.by, EndedBy::Announced(next) if first.name < next.name)
+                    && self.boots.get(&first.name) == Some(&first.boot) =>
+            {
+                *at = now;
+            }
             Some(before) => *before = ended,
         }
         while let Some(oldest) = self.over_order.front().copied() {
--- a/core/src/delivery.rs
+++ b/core/src/delivery.rs
@@ -144,11 +144,10 @@
     pub fn release_withdrawn(&mut self, now: Micros, client: ClientId, call: CallId) {
         let Some(release) = self.deliveries.with(client, call) else { return };
         release.stage = Stage::Pending;
-        self.redeliver(now, call);
-        if let Some(release) = self.deliveries.with(client, call) {
-            release.given.pop();
-            self.deliver(now, call);
-        }
+        // It was not given it, and comes last until it says something.
+        release.given.pop();
+        self.clients.set_silent(client);
+        self.deliver(now, call);
     }
 
     /// Asked for by [`Effect::AskIfSilent`]: nothing waits on a connection that was not handed on before
@@ -292,6 +291,7 @@
             if let Some(release) = self.deliveries.releases.get_mut(&call) {
                 release.stage = Stage::Pending;
             }
+            self.deliveries.pending.insert(call);
             self.deliver(now, call);
         }
     }
--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -320,7 +320,7 @@
                 Wake::Stop(call, attempt) => self.attempt_timed_out(now, call, attempt),
                 Wake::Deadline(call) => self.deadline_passed(now, call),
                 Wake::Delivery(call) => self.delivery_due(now, call),
-                Wake::Unclaimed(call) => self.release_unclaimed(now, call),
+                Wake::Unclaimed(call) => self.claims_over(now, call),
                 Wake::Sweep => {
                     let unacknowledged = self.deliveries.unacknowledged(now, KEPT_IDLE_FOR);
                     for client in self.clients.useless(now) {
--- a/core/src/unclaimed.rs
+++ b/core/src/unclaimed.rs
@@ -17,14 +17,15 @@
 /// Members get this long to say that they have given a release, where not all answer sooner. It leaves a
 /// fifth of the second in which a caller is to have it.
 const CLAIM_WITHIN: Micros = 800_000;
-/// A release that another member had said it will give is given here when nothing is heard of that for so
-/// long: within the 8 s in which a caller that can't be told sooner is told.
+/// A release that another member had said it will give is left to that one when nothing is heard of it for so
+/// long: where that member is lost, it is known by then.
 const LEFT_CLAIM_WITHIN: Micros = 7_000_000;
 
 #[derive(Clone, Copy, Debug)]
 struct Unclaimed {
     server: ServerId,
     cause: ReleaseCause,
+    left: LeftTo,
 }
 
 /// Whether a member has said before that it will give a release.
@@ -74,13 +75,22 @@
             LeftTo::Another => LEFT_CLAIM_WITHIN,
         };
         self.promise(call, Some(Promise::Owed(server, cause)), None);
-        self.unclaimed.0.insert(call, Unclaimed { server, cause });
+        self.unclaimed.0.insert(call, Unclaimed { server, cause, left });
         self.wakes.push(Reverse((now + within, Wake::Unclaimed(call))));
     }
 
+    /// The time for claims is over.
+    pub(super) fn claims_over(&mut self, now: Micros, call: CallId) {
+        match self.unclaimed.0.get(&call).map(|release| release.left) {
+            Some(LeftTo::Nobody) => self.release_unclaimed(now, call),
+            Some(LeftTo::Another) => self.yield_unclaimed(call),
+            None => {}
+        }
+    }
+
     /// Nobody has claimed it: all members have answered, or their time is over.
     pub fn release_unclaimed(&mut self, now: Micros, call: CallId) {
-        if let Some(Unclaimed { server, cause }) = self.unclaimed.0.remove(&call) {
+        if let Some(Unclaimed { server, cause, .. }) = self.unclaimed.0.remove(&call) {
             self.release_to(now, None, server, call, cause);
         }
     }
