Tell a server that its release was heard as soon as a caller has acknowledged it

Cause: a server heard of it only when replicas had confirmed the note of the pending release, though the caller had acknowledged it by then. Replicas forget the call on that acknowledgement, so after a kill the server said the release to a member that nobody answered.

The core now says ahead of the note for the replicas that a release was acknowledged, and its server is told at once. A kill finds the server told, or replicas that still hold the pending release.

The unit test fails without the fix.

--- a/agent/src/net/owner/effects.rs
+++ b/agent/src/net/owner/effects.rs
@@ -118,6 +118,7 @@
                     copies.note(call, promise, by);
                 }
             }
+            Effect::Acknowledged { call } => self.acknowledged(now, call),
             Effect::PassedOn { call } => {
                 if let Some(copies) = &mut self.copies {
                     copies.passed_on(call);
--- a/agent/src/net/owner/tests.rs
+++ b/agent/src/net/owner/tests.rs
@@ -135,6 +135,28 @@
     assert_eq!(heard(&mut to_server), 1);
 }
 
+/// Guards against a release that is given twice because its process is lost: the replicas know that its caller
+/// has acknowledged it, its server does not, and says it again to a member that knows nothing of the call.
+#[test]
+fn a_server_hears_of_an_acknowledged_release_without_waiting_for_replicas() {
+    let (mut owner, mut inbox, link, mut to_server, _) = with_copies();
+    hears(&mut owner, News::Short(false));
+    owner.take(Input::Answered { link, call: CALL, description: "v=1".into() });
+    owner.carry_out();
+    hears(&mut owner, News::Covered(1));
+    owner.take(ended(link));
+    owner.carry_out();
+    owner.look_at_copies();
+    assert!(matches!(inbox.next_now(), Some(ToClient::Answer { call: CALL, .. })));
+    assert!(matches!(inbox.next_now(), Some(ToClient::Released { call: CALL, .. })));
+    assert_eq!(heard(&mut to_server), 0, "neither replicas nor a caller have it");
+    owner.take(Input::ReleaseHeard { client: ClientId(1), call: CALL });
+    owner.carry_out();
+    assert_eq!(heard(&mut to_server), 1);
+    hears(&mut owner, News::Covered(3));
+    assert_eq!(heard(&mut to_server), 0, "once");
+}
+
 /// A set-up that waits for others to know of it has not left.
 #[test]
 fn a_set_up_that_waits_for_copies_does_not_leave_once_its_caller_or_server_has_gone() {
--- a/core/src/delivery.rs
+++ b/core/src/delivery.rs
@@ -172,6 +172,9 @@
             self.clients.acknowledged(now, client, at);
         }
         self.deliveries.forget(call);
+        if self.promises_are_told() {
+            self.effects.push(Effect::Acknowledged { call });
+        }
         self.promise(call, None, None);
     }
 
--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -152,6 +152,10 @@
         promise: Option<Promise>,
         by: Option<Micros>,
     },
+    /// A caller has acknowledged the release of a call; where promises are told.
+    Acknowledged {
+        call: CallId,
+    },
     /// The end of a call that was not known here is passed on; where promises are told.
     PassedOn {
         call: CallId,
--- a/rig/tests/delivery/net/owner.rs
+++ b/rig/tests/delivery/net/owner.rs
@@ -295,6 +295,7 @@
             Effect::Promised { call, promise, by } => {
                 self.copies.iter_mut().for_each(|copies| copies.note(call, promise, by));
             }
+            Effect::Acknowledged { call } => self.acknowledged(now, call),
             Effect::PassedOn { call } => self.copies.iter_mut().for_each(|copies| copies.passed_on(call)),
             Effect::Given { call } => self.copies.iter_mut().for_each(|copies| copies.given(call)),
             Effect::Released { client, call, .. } => {
@@ -338,6 +339,7 @@
         Effect::Released { call, .. }
         | Effect::WithdrawRelease { call, .. }
         | Effect::AskIfSilent { call, .. }
+        | Effect::Acknowledged { call }
         | Effect::PassedOn { call }
         | Effect::Given { call }
         | Effect::Promised { call, .. } => trace::line(call.0, || format!("{effect:?}")),
