Tell whoever asks that a release was given, also one that has just woken

Cause: the claim went to the members that were alive at the last tick, and the one that asks was not yet among them; the confirmation of its question, which goes to whoever asked, reached it alone.

Questions that are not answered are kept, and whoever asked is told ahead of its confirmation. The new test failed before.

--- a/copies/src/member.rs
+++ b/copies/src/member.rs
@@ -32,6 +32,8 @@
 /// Calls of one such word, and words of that kind at once.
 const MOST_CALLS: usize = 512;
 const MOST_TELLINGS: usize = 256;
+/// Questions of others that wait for their answers, at most.
+const MOST_QUESTIONS: usize = 1_024;
 /// The number of a word that answers another and is not confirmed itself.
 const ANSWER: u64 = 0;
 /// A release is left to a member that has announced it and is there after this: a lost one is known by then.
@@ -163,6 +165,8 @@
     /// Releases that came here too, of calls whose end another member has announced; since when.
     left: BTreeMap<Call, (Teller, Millis)>,
     tellings: VecDeque<Telling>,
+    /// Questions of other members that this member's process has not answered yet.
+    questions: VecDeque<Question>,
     handings: Vec<Handing>,
     /// Of this member's own stream of before.
     successor: Option<Successor>,
@@ -202,6 +206,7 @@
             passed_on: Vec::new(),
             left: BTreeMap::new(),
             tellings: VecDeque::new(),
+            questions: VecDeque::new(),
             handings: Vec::new(),
             successor: None,
             settling: BTreeMap::new(),
@@ -319,7 +324,7 @@
                 let precedence =
                     if from < self.name.as_str() { Precedence::Theirs } else { Precedence::Ours };
                 self.news.push_back(News::Over(calls, precedence));
-                self.news.push_back(News::Confirm(Question { from: from.into(), count }));
+                self.take_question(Question { from: from.into(), count });
             }
             Word::OverHeard { count } => {
                 for telling in self.tellings.iter_mut().filter(|telling| telling.count == count) {
--- a/copies/src/member/handover.rs
+++ b/copies/src/member/handover.rs
@@ -1,9 +1,11 @@
 //! Calls that change hands: what a member that was succeeded tells its successor, and which of them tells
 //! callers that their calls are over.
 
+use std::collections::BTreeSet;
+
 use super::{
-    Authority, Member, News, Question, Telling, ANSWER, LEFT_FOR, MOST_CALLS, MOST_REMEMBERED, REMEMBER,
-    TOLD_FOR,
+    Authority, Member, News, Question, Telling, ANSWER, LEFT_FOR, MOST_CALLS, MOST_QUESTIONS,
+    MOST_REMEMBERED, REMEMBER, TOLD_FOR,
 };
 use crate::words::Word;
 use crate::writer::Writer;
@@ -71,8 +73,20 @@
         }
     }
 
+    /// Another member waits for what the process has to say of calls.
+    pub(super) fn take_question(&mut self, question: Question) {
+        if !self.questions.contains(&question) {
+            self.questions.push_back(question.clone());
+            if self.questions.len() > MOST_QUESTIONS {
+                self.questions.pop_front();
+            }
+        }
+        self.news.push_back(News::Confirm(question));
+    }
+
     /// The process has carried out all that preceded this question: what it has to say of it is on its way.
     pub fn confirm(&mut self, question: Question) {
+        self.questions.retain(|open| *open != question);
         self.words.push((question.from, Word::OverHeard { count: question.count }));
     }
 
@@ -118,10 +132,13 @@
     }
 
     /// The process has told the caller of a call that it is over, which another member is about to do: it is
-    /// told so once, since it waits for that for less time than a second word would take.
+    /// told so once, since it waits for that for less time than a second word would take. Whoever asks is told
+    /// also where it is not among the members that are alive yet, as one that has just woken.
     pub fn given(&mut self, now: Millis, call: Call) {
         self.remember(call, Ended { at: now, by: EndedBy::Here });
-        for to in &self.others {
+        let asking = self.questions.iter().map(|question| &question.from);
+        let tell: BTreeSet<&String> = self.others.iter().chain(asking).collect();
+        for to in tell {
             let word = Word::Over { count: ANSWER, calls: vec![call] };
             self.words.push((to.clone(), word));
         }
--- a/copies/tests/handover.rs
+++ b/copies/tests/handover.rs
@@ -196,6 +196,27 @@
     assert!(relinquished(&woken) && !woken.contains(&News::Given(vec![CALL])), "{woken:?}");
 }
 
+/// Guards against a release that the member that wakes gives, since the answer that its successor has given it
+/// went to those alone whom the successor takes for alive.
+#[test]
+fn says_to_whoever_asks_that_it_has_given_a_release() {
+    let mut pair = Pair::with_established_call();
+    pair.taken_for_lost = true;
+    pair.succeed();
+    pair.members[0].passed_on(pair.now, CALL);
+    let [mut woken, successor] = pair.live(1);
+    let question = successor.iter().find_map(|news| match news {
+        News::Confirm(question) => Some(question.clone()),
+        _ => None,
+    });
+    pair.members[1].given(pair.now, CALL);
+    pair.members[1].confirm(question.expect("it is asked"));
+    woken.append(&mut pair.live(2)[0]);
+    let given = woken.iter().position(|news| *news == News::Given(vec![CALL]));
+    let all_told = woken.iter().position(|news| *news == News::AllTold(vec![CALL]));
+    assert!(given.is_some() && given < all_told, "{woken:?}");
+}
+
 /// Guards against a release that nobody gives: its member had told the others that it is about to, and was
 /// lost before that. While that member is there, it is left to it.
 #[test]
