Claim no release of a call whose attempt was only called off here

Cause: a successor that knew only of an attempt noted the call as answered, and claimed it when the member that woke asked.

Such a call is noted as called off, which claims nothing.

--- a/core/src/book.rs
+++ b/core/src/book.rs
@@ -90,6 +90,18 @@
     Unheard,
     /// Another member has told its caller, or is about to.
     Elsewhere,
+    /// Its attempt, of a member that was lost, was called off here: its caller was told nothing here.
+    CalledOff,
+}
+
+impl Over {
+    /// Whether its caller has its final answer, or gets it from another member if any.
+    pub fn is_final(self) -> bool {
+        match self {
+            Over::Answered | Over::Elsewhere | Over::CalledOff => true,
+            Over::Unheard => false,
+        }
+    }
 }
 
 #[derive(Default)]
@@ -176,7 +188,7 @@
 
     /// A final answer was given to a call that does not stand.
     pub fn verdict(&mut self, call: CallId, class: Option<usize>, verdict: Verdict) {
-        if matches!(self.over(call), Some(Over::Answered | Over::Elsewhere)) {
+        if self.over(call).is_some_and(Over::is_final) {
             self.breach(Breach::AnsweredTwice);
         }
         match verdict {
--- a/core/src/promise.rs
+++ b/core/src/promise.rs
@@ -134,7 +134,7 @@
         match promise {
             Promise::Out(server) => {
                 // Nobody is at the other end of it. It may stand there by now: its release cuts that, too.
-                self.book.note_over(call, Over::Answered);
+                self.book.note_over(call, Over::CalledOff);
                 self.effects.push(Effect::Release { server, call, cause: ReleaseCause::NORMAL });
                 self.promise(call, None, None);
             }
--- a/core/src/take_in.rs
+++ b/core/src/take_in.rs
@@ -69,7 +69,7 @@
     fn known(&self, call: CallId) -> bool {
         self.pending.contains_key(&call)
             || self.relay.stands(call).is_some()
-            || matches!(self.book.over(call), Some(Over::Answered | Over::Elsewhere))
+            || self.book.over(call).is_some_and(Over::is_final)
     }
 }
 
