Ask the successor before a caller is told that its call failed, also where it had ended

Cause: the successor is asked of what the stream holds when it is given up. A call whose release was read just before was not in it, and its answer that was held counted as late.

A doubt now remembers that there is a successor, which is asked of every answer that is never given. The new test failed before.

--- a/agent/src/net/copies.rs
+++ b/agent/src/net/copies.rs
@@ -44,6 +44,8 @@
     pub out: BTreeSet<CallId>,
     /// These had an answer or a release then: a successor may say, or have said, that they are over.
     pub answered: BTreeSet<CallId>,
+    /// There is a successor.
+    succeeded: bool,
 }
 
 impl Doubt {
@@ -376,24 +378,29 @@
         self.doubt = Some(doubt);
     }
 
-    /// There is none any more: the answers that waited because of it, and those whose callers' time is over.
-    pub fn doubt_ends(&mut self, now: Micros) -> (Vec<Effect>, Vec<Effect>) {
-        let Some(doubt) = self.doubt.take() else { return (Vec::new(), Vec::new()) };
+    /// There is none any more: the answers that waited because of it, and those that are never given, since
+    /// the time of their callers is over or their calls are.
+    pub fn doubt_ends(&mut self, now: Micros) -> (Vec<Effect>, Unanswered) {
+        let Some(doubt) = self.doubt.take() else { return Default::default() };
         let calls = doubt.out.iter().chain(&doubt.answered);
         let waited: Vec<Waiting> = calls.filter_map(|call| self.answers.remove(call)).collect();
         let (in_time, late): (Vec<_>, Vec<_>) = waited.into_iter().partition(|waiting| now < waiting.by);
         let effects = |waited: Vec<Waiting>| waited.into_iter().map(|waiting| waiting.effect).collect();
-        (effects(in_time), effects(late))
+        let late = effects(late);
+        let unanswered = match doubt.succeeded {
+            true => self.never_answered(&doubt.out, late),
+            false => Unanswered { fail: late, ask: Vec::new() },
+        };
+        (effects(in_time), unanswered)
     }
 
-    /// These calls were given up to a successor; `queued`: answers to some that had not come here yet.
-    pub fn renounced(&mut self, calls: &BTreeSet<CallId>, queued: Vec<Effect>) -> Unanswered {
-        self.renounced += 1;
-        let held = calls.iter().filter_map(|call| self.answers.remove(call)).map(|waiting| waiting.effect);
+    /// Parts answers that are never given, where there is a successor: it is asked whether it has told their
+    /// callers something. `out`: calls of which it can't have.
+    fn never_answered(&mut self, out: &BTreeSet<CallId>, answers: Vec<Effect>) -> Unanswered {
         let mut unanswered = Unanswered::default();
-        for effect in held.chain(queued) {
+        for effect in answers {
             let Effect::Answer { call, .. } = &effect else { continue };
-            if self.doubt.as_ref().is_some_and(|doubt| doubt.out.contains(call)) {
+            if out.contains(call) {
                 unanswered.fail.push(effect);
             } else {
                 unanswered.ask.push(*call);
@@ -407,6 +414,18 @@
         unanswered
     }
 
+    /// These calls were given up to a successor; `queued`: answers to some that had not come here yet.
+    pub fn renounced(&mut self, calls: &BTreeSet<CallId>, queued: Vec<Effect>) -> Unanswered {
+        self.renounced += 1;
+        let held = calls.iter().filter_map(|call| self.answers.remove(call)).map(|waiting| waiting.effect);
+        let answers = held.chain(queued).collect();
+        let out = self.doubt.as_mut().map(|doubt| {
+            doubt.succeeded = true;
+            doubt.out.clone()
+        });
+        self.never_answered(&out.unwrap_or_default(), answers)
+    }
+
     /// The successor has told their callers nothing, and will not: the answers that were never given.
     pub fn relinquished(&mut self, calls: &[CallId]) -> Vec<Effect> {
         calls.iter().filter_map(|call| self.relinquished.remove(call)).collect()
--- a/agent/src/net/owner/replication.rs
+++ b/agent/src/net/owner/replication.rs
@@ -8,7 +8,7 @@
 use steprelay_decisions::{CallId, Micros};
 
 use super::Owner;
-use crate::net::copies::Doubt;
+use crate::net::copies::{Doubt, Unanswered};
 use crate::ports::copies;
 use crate::ports::{LinkId, ToServer};
 use crate::trace;
@@ -31,10 +31,10 @@
                 self.core.doubt(now, true);
             }
             (false, true) => {
-                let (in_time, late) = copies.doubt_ends(now);
+                let (in_time, unanswered) = copies.doubt_ends(now);
                 self.core.doubt(now, false);
                 in_time.into_iter().for_each(|effect| self.say(now, effect));
-                self.give_up(now, late);
+                self.leave_unanswered(now, unanswered);
             }
             _ => {}
         }
@@ -86,20 +86,25 @@
         let queued = self.core.take_answers(calls);
         let Some(copies) = &mut self.copies else { return };
         let unanswered = copies.renounced(calls, queued);
-        for call in unanswered.ask {
-            trace::replicated(call, "is not answered until its successor says whether it was ended");
-            self.core.withdraw_answer(now, call);
-        }
         for effect in &unanswered.fail {
             if let (Effect::Answer { call, .. }, Some(copies)) = (effect, &mut self.copies) {
                 // What was noted of it last is handed over, too.
                 copies.passed_on(*call);
             }
         }
-        self.give_up(now, unanswered.fail);
+        self.leave_unanswered(now, unanswered);
         self.core.renounce(now, calls);
     }
 
+    /// Answers that are never given: their callers are told so, or whoever may have told them is asked.
+    fn leave_unanswered(&mut self, now: Micros, unanswered: Unanswered) {
+        for call in unanswered.ask {
+            trace::replicated(call, "is not answered until its successor says whether it was ended");
+            self.core.withdraw_answer(now, call);
+        }
+        self.give_up(now, unanswered.fail);
+    }
+
     pub(super) fn heard_of_copies(&mut self, now: Micros, news: News) {
         match news {
             News::Covered(covered) => {
--- a/agent/src/net/owner/tests/failover.rs
+++ b/agent/src/net/owner/tests/failover.rs
@@ -117,6 +117,30 @@
     }
 }
 
+/// Guards against two ends of one call, where it ended while its answer was held: by then no record of it is
+/// left that the successor's could be named by.
+#[test]
+fn asks_its_successor_of_a_call_that_ended_before_it_knew_of_one() {
+    for ended_by_successor in [false, true] {
+        let mut sleeper = Sleeper::new();
+        sleeper.answered();
+        assert!(sleeper.said().is_empty(), "nobody else knows that it stands");
+        sleeper.wakes();
+        sleeper.owner.take(ended(sleeper.link));
+        assert!(sleeper.said().is_empty());
+        hears(&mut sleeper.owner, News::Renounce(Default::default()));
+        sleeper.lease.set(60_000, 1);
+        assert!(sleeper.said().is_empty(), "its successor may have ended it");
+        assert!(sleeper.noted(|note| *note == Note::Relinquished(vec![CALL])), "it is asked");
+        if ended_by_successor {
+            hears(&mut sleeper.owner, News::Given(vec![CALL.0]));
+        }
+        hears(&mut sleeper.owner, News::Relinquished(vec![CALL.0]));
+        let said = sleeper.said();
+        assert!(if ended_by_successor { said.is_empty() } else { is_failed(&said) }, "{said:?}");
+    }
+}
+
 /// Guards against a release that the member that wakes passes on, and its successor is handed.
 #[test]
 fn tells_all_members_of_a_release_that_it_passes_on_before_it_notes_it() {
