Ask all members before a member that wakes gives a release that its successor may have given

Cause: what a server says while it is not known whether the call was taken over, and a release that was decided on before, went to the caller in the turn in which the others were told.

Such a release is held as one of an unknown call is: promised, asked about, and given when nobody claims it, within 0.8 s. One that is about to leave is taken back for that.

--- a/agent/src/net/copies.rs
+++ b/agent/src/net/copies.rs
@@ -159,13 +159,9 @@
         }
     }
 
-    /// The release of a call leaves. A successor that may have the call by now is not to give it too, also
-    /// where it was decided on before the doubt.
-    pub fn release_leaves(&mut self, call: CallId) {
+    /// A release leaves.
+    pub fn release_leaves(&mut self) {
         self.settled_by = self.noted;
-        if self.doubts(call) {
-            self.passed_on(call);
-        }
     }
 
     fn say(&mut self, note: Note) {
--- a/agent/src/net/owner/replication.rs
+++ b/agent/src/net/owner/replication.rs
@@ -4,11 +4,11 @@
 use std::collections::BTreeSet;
 
 use steprelay_copies::member::{News, Precedence};
-use steprelay_core::{Effect, Promise, Verdict};
+use steprelay_core::{ClientId, Effect, Promise, Verdict};
 use steprelay_decisions::{CallId, Micros};
 
 use super::Owner;
-use crate::net::copies::{Doubt, Unanswered};
+use crate::net::copies::{Copies, Doubt, Unanswered};
 use crate::ports::copies;
 use crate::ports::{LinkId, ToServer};
 use crate::trace;
@@ -57,6 +57,33 @@
         }
     }
 
+    /// A release is about to leave, behind an answer that waits; whether it may.
+    pub(super) fn may_release(&mut self, now: Micros, client: ClientId, call: CallId) -> bool {
+        if self.withdraws_answer(now, call) || self.core.withhold_release(now, client, call) {
+            return false;
+        }
+        self.copies.iter_mut().for_each(Copies::release_leaves);
+        let first = self.copies.as_mut().and_then(|copies| copies.answer_first(call));
+        first.into_iter().for_each(|effect| self.say(now, effect));
+        true
+    }
+
+    /// All members are told that the end of a call is seen to here.
+    pub(super) fn pass_on(&mut self, now: Micros, call: CallId) {
+        self.copies.iter_mut().for_each(|copies| copies.passed_on(call));
+        self.withdraws_answer(now, call);
+    }
+
+    /// A call is over. Where its answer is held in doubt its caller hears of neither, but that it failed;
+    /// whether it was so.
+    fn withdraws_answer(&mut self, now: Micros, call: CallId) -> bool {
+        let expired = self.copies.as_mut().is_some_and(|copies| copies.expire_doubted_answer(call));
+        if expired {
+            self.core.withdraw_answer(now, call);
+        }
+        expired
+    }
+
     /// A caller has acknowledged the release of a call, and its server is told so ahead of other members: it
     /// would say the release again to one that knows nothing of the call, were this process lost.
     pub(super) fn acknowledged(&mut self, now: Micros, call: CallId) {
--- a/core/src/delivery.rs
+++ b/core/src/delivery.rs
@@ -18,6 +18,7 @@
 
 use steprelay_decisions::{CallId, Micros, ServerId};
 
+use super::unclaimed::{LeftTo, Unclaimed};
 use super::{ClientId, Core, Effect, Promise, ReleaseCause, Wake};
 
 /// A release is worth delivering for so long.
@@ -142,12 +143,40 @@
     /// A release that waited for a connection was taken back before its first byte left. Where no other one
     /// can take it, that connection is given it again.
     pub fn release_withdrawn(&mut self, now: Micros, client: ClientId, call: CallId) {
-        let Some(release) = self.deliveries.with(client, call) else { return };
-        release.stage = Stage::Pending;
-        // It was not given it, and comes last until it says something.
-        release.given.pop();
-        self.clients.set_silent(client);
-        self.deliver(now, call);
+        if self.take_back(client, call) {
+            // It comes last until it says something.
+            self.clients.set_silent(client);
+            self.deliver(now, call);
+        }
+    }
+
+    /// A connection was not given a release in the end; whether it was the last one that it was for.
+    fn take_back(&mut self, client: ClientId, call: CallId) -> bool {
+        let release = self.deliveries.with(client, call);
+        let taken_back = release.map(|release| {
+            release.stage = Stage::Pending;
+            release.given.pop();
+        });
+        taken_back.is_some()
+    }
+
+    /// A release is about to leave. Returns whether it is not to: it was decided on before the doubt whether
+    /// another member has taken the call over, which is asked first.
+    pub fn withhold_release(&mut self, now: Micros, client: ClientId, call: CallId) -> bool {
+        let Some(release) = self.deliveries.with(client, call) else { return false };
+        let (client_of_call, server, cause) = (release.client, release.server, release.cause);
+        let (since, deliveries) = (release.since, release.given.len());
+        if !self.is_doubted(since) {
+            return false;
+        }
+        if deliveries > 1 {
+            // A connection that was given it before may have acknowledged it by now.
+            return self.take_back(client, call);
+        }
+        self.deliveries.forget(call);
+        let left = LeftTo::Nobody;
+        self.hold_unclaimed(now, call, Unclaimed { client: client_of_call, server, cause, left });
+        true
     }
 
     /// Asked for by [`Effect::AskIfSilent`]: nothing waits on a connection that was not handed on before
--- a/core/src/promise.rs
+++ b/core/src/promise.rs
@@ -2,8 +2,8 @@
 //! agent that was lost. Nothing of it happens unless it is asked for ([`Core::tell_promises`]).
 //!
 //! While it is not known whether another has taken over ([`Core::doubt`]), nothing is said of calls of before
-//! on this call agent's own account. What a server says of one meanwhile is passed on: it says so to one call
-//! agent alone.
+//! on this call agent's own account. What a server says of one meanwhile is passed on, since it says so to one
+//! call agent alone, once the others have been asked whether they have told the caller ([`super::unclaimed`]).
 
 use std::collections::BTreeSet;
 
@@ -92,12 +92,6 @@
         self.promises.doubt.is_some_and(|from| since < from)
     }
 
-    /// Whether another call agent may tell the caller that this call is over: the one that had it before, or
-    /// the one that may have taken it over.
-    pub(super) fn is_shared(&self, standing: &Standing) -> bool {
-        standing.is_adopted() || self.is_doubted(standing.since())
-    }
-
     /// All members are told that this call's release is given here, where promises are told.
     pub(super) fn pass_on_to_members(&mut self, call: CallId) {
         if self.promises.told && BoundCall::of(call).is_none() {
@@ -172,8 +166,9 @@
             let (server, cause) = (standing.server(), ReleaseCause::NORMAL);
             self.effects.push(Effect::Release { server, call, cause });
             self.call_over(now, call, standing, Outcome::Cancelled, Report::default());
-        } else if self.deliveries.contains(call) {
+        } else if self.deliveries.contains(call) || self.unclaimed.contains(call) {
             self.deliveries.forget(call);
+            self.unclaimed.forget(call);
             self.promise(call, None, None);
         }
         self.effects.retain(|effect| !matches!(effect, Effect::Released { call: of, .. } if *of == call));
--- a/core/src/relay.rs
+++ b/core/src/relay.rs
@@ -10,7 +10,7 @@
 
 use super::book::Over;
 use super::send::Attempt;
-use super::unclaimed::LeftTo;
+use super::unclaimed::{LeftTo, Unclaimed};
 use super::{BoundCall, ClientId, Core, Effect, Peer, Promise, ReleaseCause, Verdict};
 
 #[derive(Clone, Copy, Debug)]
@@ -31,10 +31,6 @@
         self.attempt.server
     }
 
-    pub fn since(&self) -> Micros {
-        self.since
-    }
-
     pub fn is_adopted(&self) -> bool {
         self.client.is_none()
     }
@@ -185,10 +181,7 @@
         let standing = self.relay.stands(call).filter(|standing| standing.attempt.server == server);
         if let Some(&standing) = standing {
             self.relay.standing.remove(&call);
-            if self.is_shared(&standing) {
-                self.pass_on_to_members(call);
-            }
-            self.release_to(now, standing.client, server, call, cause);
+            self.release_standing(now, server, call, standing, cause);
             return self.call_over(now, call, standing, cause.outcome_after_answer(), report);
         }
         self.report(now, server, report);
@@ -202,13 +195,32 @@
             self.book.note_over(call, Over::Answered);
             let client = BoundCall::of(call).map(BoundCall::client_id);
             if client.is_none() && self.promises_are_told() {
-                self.pass_on_to_members(call);
-                return self.hold_unclaimed(now, server, call, cause, left);
+                return self.hold_unclaimed(now, call, Unclaimed { client, server, cause, left });
             }
             self.release_to(now, client, server, call, cause);
         }
     }
 
+    /// Gives the release of a call that stood here, or asks first where another member may have given it.
+    fn release_standing(
+        &mut self,
+        now: Micros,
+        server: ServerId,
+        call: CallId,
+        standing: Standing,
+        cause: ReleaseCause,
+    ) {
+        let client = standing.client;
+        if self.is_doubted(standing.since) {
+            let left = LeftTo::Nobody;
+            return self.hold_unclaimed(now, call, Unclaimed { client, server, cause, left });
+        }
+        if standing.is_adopted() {
+            self.pass_on_to_members(call);
+        }
+        self.release_to(now, client, server, call, cause);
+    }
+
     /// A server has released a call on a connection that was let go of meanwhile. It was told already that
     /// this was heard, and does not say it again: what stands there is over all the same. A set-up that was
     /// out on that connection counts as reset, so that the word can't be about a later attempt.
@@ -233,10 +245,7 @@
             .filter(|(_, standing)| !self.is_doubted(standing.since));
         for (call, standing) in cut.map(|(call, standing)| (*call, *standing)).collect::<Vec<_>>() {
             self.relay.standing.remove(&call);
-            if self.is_shared(&standing) {
-                self.pass_on_to_members(call);
-            }
-            self.release_to(now, standing.client, server, call, ReleaseCause::TEMPORARY);
+            self.release_standing(now, server, call, standing, ReleaseCause::TEMPORARY);
             self.call_over(now, call, standing, Outcome::Reset, Report::default());
         }
         self.note_gone(server, before);
--- a/core/src/unclaimed.rs
+++ b/core/src/unclaimed.rs
@@ -1,10 +1,13 @@
-//! Releases of calls that are not known here, where promises are told to other members.
+//! Releases that another member may have given, where promises are told to other members.
 //!
 //! A server says a release again on the next open connection, whoever's it is, when the connection that took
 //! it ends unconfirmed. The call may be another member's, who has given the release or is about to. So all
 //! members are told first that it will be given here: one that has the call drops it, and one that has told
 //! its caller already says so. Once all have answered, or their time is over, and none has said so, the
 //! release is given. Where two members were told of it, the one whose name comes first gives it.
+//!
+//! So are the releases of calls that stand here, while it is not known whether another member has taken them
+//! over ([`Core::doubt`]): a successor may have given a release of its own, as that of a server that is gone.
 
 use std::cmp::Reverse;
 use std::collections::BTreeMap;
@@ -12,7 +15,7 @@
 use steprelay_decisions::{CallId, Micros, ServerId};
 
 use super::book::Over;
-use super::{Core, Effect, Promise, ReleaseCause, Wake};
+use super::{ClientId, Core, Effect, Promise, ReleaseCause, Wake};
 
 /// Members get this long to say that they have given a release, where not all answer sooner. It leaves a
 /// fifth of the second in which a caller is to have it.
@@ -21,11 +24,14 @@
 /// long: where that member is lost, it is known by then.
 const LEFT_CLAIM_WITHIN: Micros = 7_000_000;
 
+/// A release that is given unless a member claims it.
 #[derive(Clone, Copy, Debug)]
-struct Unclaimed {
-    server: ServerId,
-    cause: ReleaseCause,
-    left: LeftTo,
+pub(super) struct Unclaimed {
+    /// Who made the call, where that is known.
+    pub client: Option<ClientId>,
+    pub server: ServerId,
+    pub cause: ReleaseCause,
+    pub left: LeftTo,
 }
 
 /// Whether a member has said before that it will give a release.
@@ -61,21 +67,15 @@
 }
 
 impl Core {
-    /// Holds a release until its time for claims is over.
-    pub(super) fn hold_unclaimed(
-        &mut self,
-        now: Micros,
-        server: ServerId,
-        call: CallId,
-        cause: ReleaseCause,
-        left: LeftTo,
-    ) {
-        let within = match left {
+    /// Asks all members whether they have given a release, and holds it until its time for claims is over.
+    pub(super) fn hold_unclaimed(&mut self, now: Micros, call: CallId, release: Unclaimed) {
+        let within = match release.left {
             LeftTo::Nobody => CLAIM_WITHIN,
             LeftTo::Another => LEFT_CLAIM_WITHIN,
         };
-        self.promise(call, Some(Promise::Owed(server, cause)), None);
-        self.unclaimed.0.insert(call, Unclaimed { server, cause, left });
+        self.pass_on_to_members(call);
+        self.promise(call, Some(Promise::Owed(release.server, release.cause)), None);
+        self.unclaimed.0.insert(call, release);
         self.wakes.push(Reverse((now + within, Wake::Unclaimed(call))));
     }
 
@@ -90,8 +90,8 @@
 
     /// Nobody has claimed it: all members have answered, or their time is over.
     pub fn release_unclaimed(&mut self, now: Micros, call: CallId) {
-        if let Some(Unclaimed { server, cause, .. }) = self.unclaimed.0.remove(&call) {
-            self.release_to(now, None, server, call, cause);
+        if let Some(Unclaimed { client, server, cause, .. }) = self.unclaimed.0.remove(&call) {
+            self.release_to(now, client, server, call, cause);
         }
     }
 
