Have replicas answer for acknowledged releases, in place of telling servers ahead of them

What callers saw first, the end of a call twice where its member is killed, has its cause in replicas that forget an acknowledged release before its server knows of it. They remember it now, answer whoever asks, and give none themselves; servers are told as before.

The three tests fail without it.

--- a/agent/src/fleet/copies.rs
+++ b/agent/src/fleet/copies.rs
@@ -63,6 +63,7 @@
                     self.member.replace(records.collect());
                 }
                 Some(Note::PassedOn(call)) => self.member.passed_on(now, call.0),
+                Some(Note::Acknowledged(call)) => self.member.acknowledged(call.0),
                 Some(Note::Given(call)) => self.member.given(now, call.0),
                 Some(Note::Confirmed(question)) => self.member.confirm(question),
                 Some(Note::Relinquished(calls)) => {
--- a/agent/src/net/copies.rs
+++ b/agent/src/net/copies.rs
@@ -78,11 +78,9 @@
     order: VecDeque<(u64, CallId)>,
     /// Of other members, to be confirmed once what precedes them was carried out.
     questions: Vec<Question>,
-    /// Releases whose servers were not told that they were heard, with the connections on which they came.
-    unheard: BTreeMap<CallId, LinkId>,
-    /// Their calls, until the notes of them are numbered; and then by that number.
-    came: Vec<CallId>,
-    heard: VecDeque<(u64, CallId)>,
+    /// Releases that came, until the notes of them are numbered; and then by that number.
+    came: Vec<(LinkId, CallId)>,
+    heard: VecDeque<(u64, LinkId, CallId)>,
     /// The note by which others know all that callers were told of calls that are over, and acknowledged.
     settled_by: u64,
     /// Too few others can take copies: nothing waits for them.
@@ -107,7 +105,6 @@
             set_ups: BTreeMap::new(),
             order: VecDeque::new(),
             questions: Vec::new(),
-            unheard: BTreeMap::new(),
             came: Vec::new(),
             heard: VecDeque::new(),
             settled_by: 0,
@@ -141,6 +138,11 @@
         let _ = self.end.notes.try_send(Note::PassedOn(call));
     }
 
+    pub fn acknowledged(&mut self, call: CallId) {
+        // Lost where there is no room: replicas do not answer for this release then.
+        let _ = self.end.notes.try_send(Note::Acknowledged(call));
+    }
+
     pub fn given(&mut self, call: CallId) {
         // Lost where there is no room: its caller may be told twice then.
         let _ = self.end.notes.try_send(Note::Given(call));
@@ -239,27 +241,18 @@
         self.doubt.as_ref().is_some_and(|doubt| doubt.contains(call))
     }
 
-    /// A server has released something, and is to hear that once others know, or the caller.
+    /// A server has released something, and is to hear that once others know.
     pub fn release_came(&mut self, link: LinkId, call: CallId) {
-        self.unheard.insert(call, link);
-        self.came.push(call);
-    }
-
-    /// A caller has acknowledged the release of a call: its server is to hear that now, on this connection,
-    /// if it has not yet. What others hold of the call changes nothing any more.
-    pub fn acknowledged(&mut self, call: CallId) -> Option<LinkId> {
-        self.unheard.remove(&call)
+        self.came.push((link, call));
     }
 
     /// All that follows from what came has been noted.
     pub fn number_releases(&mut self) {
         let number = self.noted;
-        self.heard.extend(self.came.drain(..).map(|call| (number, call)));
+        self.heard.extend(self.came.drain(..).map(|(link, call)| (number, link, call)));
         if self.heard.len() > MOST_HEARD {
             // Servers say them again.
-            if let Some((_, oldest)) = self.heard.pop_front() {
-                self.unheard.remove(&oldest);
-            }
+            self.heard.pop_front();
         }
     }
 
@@ -294,8 +287,9 @@
             self.uncopied += 1;
         }
         let mut heard = Vec::new();
-        while let Some((_, call)) = self.heard.pop_front_if(|(number, _)| *number <= self.covered) {
-            heard.extend(self.unheard.remove(&call).map(|link| (link, call)));
+        while let Some((_, link, call)) = self.heard.front().filter(|(number, ..)| *number <= self.covered) {
+            heard.push((*link, *call));
+            self.heard.pop_front();
         }
         (effects, heard)
     }
@@ -336,8 +330,7 @@
     /// Whether others hold all that callers were told of calls that are over, and servers were told that it
     /// was heard: else a successor, or another member whom a server tells, gives a release again.
     pub fn is_settled(&self) -> bool {
-        let mut unheard = self.heard.iter().filter(|(_, call)| self.unheard.contains_key(call));
-        let told = unheard.next().is_none_or(|(number, _)| *number > self.settled_by);
+        let told = self.heard.front().is_none_or(|(number, ..)| *number > self.settled_by);
         !self.behind && self.came.is_empty() && self.covered >= self.settled_by && told
     }
 
--- a/agent/src/net/owner/effects.rs
+++ b/agent/src/net/owner/effects.rs
@@ -115,7 +115,11 @@
                     copies.note(call, promise, by);
                 }
             }
-            Effect::Acknowledged { call } => self.acknowledged(now, call),
+            Effect::Acknowledged { call } => {
+                if let Some(copies) = &mut self.copies {
+                    copies.acknowledged(call);
+                }
+            }
             Effect::PassedOn { call } => self.pass_on(now, call),
             Effect::Given { call } => {
                 if let Some(copies) = &mut self.copies {
--- a/agent/src/net/owner/replication.rs
+++ b/agent/src/net/owner/replication.rs
@@ -10,7 +10,7 @@
 use super::Owner;
 use crate::net::copies::{Copies, Doubt, Unanswered};
 use crate::ports::copies;
-use crate::ports::{LinkId, ToServer};
+use crate::ports::ToServer;
 use crate::trace;
 
 impl Owner {
@@ -53,7 +53,9 @@
         self.give_up(now, given_up);
         effects.into_iter().for_each(|effect| self.say(now, effect));
         for (link, call) in heard {
-            self.tell_heard(now, link, call);
+            if self.links.is_current(link) {
+                let _ = self.links.post(link.server, ToServer::Heard(call), now);
+            }
         }
     }
 
@@ -84,19 +86,6 @@
         expired
     }
 
-    /// A caller has acknowledged the release of a call, and its server is told so ahead of other members: it
-    /// would say the release again to one that knows nothing of the call, were this process lost.
-    pub(super) fn acknowledged(&mut self, now: Micros, call: CallId) {
-        let link = self.copies.as_mut().and_then(|copies| copies.acknowledged(call));
-        link.into_iter().for_each(|link| self.tell_heard(now, link, call));
-    }
-
-    fn tell_heard(&mut self, now: Micros, link: LinkId, call: CallId) {
-        if self.links.is_current(link) {
-            let _ = self.links.post(link.server, ToServer::Heard(call), now);
-        }
-    }
-
     /// Answers that never went out, and never will.
     pub(super) fn give_up(&mut self, now: Micros, answers: Vec<Effect>) {
         for effect in answers {
--- a/agent/src/net/owner/tests.rs
+++ b/agent/src/net/owner/tests.rs
@@ -135,11 +135,12 @@
     assert_eq!(heard(&mut to_server), 1);
 }
 
-/// Guards against a release that is given twice because its process is lost: the replicas know that its caller
-/// has acknowledged it, its server does not, and says it again to a member that knows nothing of the call.
+/// Guards against a release that is given twice because its process is lost: whoever holds a replica answers
+/// for it. And against a call that stands at a successor for ever: its server, which would be told ahead of the
+/// replicas, never says the release again.
 #[test]
-fn a_server_hears_of_an_acknowledged_release_without_waiting_for_replicas() {
-    let (mut owner, mut inbox, link, mut to_server, _) = with_copies();
+fn replicas_hear_of_an_acknowledged_release_ahead_of_its_server() {
+    let (mut owner, mut inbox, link, mut to_server, _lease, mut notes) = with_noted_copies();
     hears(&mut owner, News::Short(false));
     owner.take(Input::Answered { link, call: CALL, description: "v=1".into() });
     owner.carry_out();
@@ -149,12 +150,15 @@
     owner.look_at_copies();
     assert!(matches!(inbox.next_now(), Some(ToClient::Answer { call: CALL, .. })));
     assert!(matches!(inbox.next_now(), Some(ToClient::Released { call: CALL, .. })));
-    assert_eq!(heard(&mut to_server), 0, "neither replicas nor a caller have it");
+    while notes.try_recv().is_ok() {}
     owner.take(Input::ReleaseHeard { client: ClientId(1), call: CALL });
     owner.carry_out();
+    owner.look_at_copies();
+    let noted: Vec<_> = std::iter::from_fn(|| notes.try_recv().ok()).collect();
+    assert_eq!(noted, [copies::Note::Acknowledged(CALL), copies::Note::Promise(CALL, None)]);
+    assert_eq!(heard(&mut to_server), 0, "a replica may still have it as established");
+    hears(&mut owner, News::Covered(2));
     assert_eq!(heard(&mut to_server), 1);
-    hears(&mut owner, News::Covered(3));
-    assert_eq!(heard(&mut to_server), 0, "once");
 }
 
 /// A set-up that waits for others to know of it has not left.
--- a/agent/src/ports/copies.rs
+++ b/agent/src/ports/copies.rs
@@ -18,6 +18,8 @@
     All(Vec<(CallId, Promise)>),
     /// A release of a call that was not known here was given.
     PassedOn(CallId),
+    /// The caller of a call has acknowledged its release; ahead of the promise that ends with that.
+    Acknowledged(CallId),
     /// The caller of a call that another member is about to see to was told here that it is over.
     Given(CallId),
     /// What preceded another member's question was carried out.
--- a/copies/src/member.rs
+++ b/copies/src/member.rs
@@ -162,6 +162,8 @@
     overs: BTreeMap<Call, Ended>,
     over_order: VecDeque<Call>,
     passed_on: Vec<Call>,
+    /// Calls whose releases were acknowledged, by their streams, until the replicas are told.
+    acknowledged: BTreeMap<StreamId, Vec<Call>>,
     /// Releases that came here too, of calls whose end another member has announced; since when.
     left: BTreeMap<Call, (Teller, Millis)>,
     tellings: VecDeque<Telling>,
@@ -204,6 +206,7 @@
             overs: BTreeMap::new(),
             over_order: VecDeque::new(),
             passed_on: Vec::new(),
+            acknowledged: BTreeMap::new(),
             left: BTreeMap::new(),
             tellings: VecDeque::new(),
             questions: VecDeque::new(),
@@ -316,7 +319,9 @@
                 }
                 self.news.push_back(News::Given(calls));
             }
+            Word::Acknowledged { calls } => self.take_acknowledged(now, calls),
             Word::Over { count, calls } => {
+                self.answer_for_acknowledged(from, &calls);
                 for call in &calls {
                     let by = EndedBy::Announced(Teller { name: from.into(), boot });
                     self.remember(*call, Ended { at: now, by });
@@ -383,6 +388,7 @@
 
     /// Says what is new, between ticks.
     pub fn poll(&mut self, now: Millis) {
+        self.tell_acknowledged();
         if self.paused.is_none() {
             for writer in [&mut self.own].into_iter().chain(self.adopted.values_mut()) {
                 self.words.extend(writer.poll(now));
--- a/copies/src/member/handover.rs
+++ b/copies/src/member/handover.rs
@@ -39,6 +39,8 @@
     Announced(Teller),
     /// Another member has told the caller.
     Told,
+    /// The caller has acknowledged it to another member, of which this one holds a replica.
+    Acknowledged,
 }
 
 /// Another member, in one start of it.
@@ -60,6 +62,9 @@
     /// that it is over. Where a member that is there, and whose name comes first, has announced the same
     /// before, that one alone is asked.
     pub fn passed_on(&mut self, now: Millis, call: Call) {
+        if self.is_acknowledged(call) {
+            return self.news.push_back(News::Given(vec![call]));
+        }
         let precedes = |teller: &Teller| teller.name < self.name;
         if let Some(teller) = self.living_teller(call).filter(precedes) {
             self.count += 1;
@@ -94,7 +99,7 @@
     fn living_teller(&self, call: Call) -> Option<Teller> {
         match &self.overs.get(&call)?.by {
             EndedBy::Announced(teller) => Some(teller.clone()).filter(|teller| self.is_there(teller)),
-            EndedBy::Here | EndedBy::Told => None,
+            EndedBy::Here | EndedBy::Told | EndedBy::Acknowledged => None,
         }
     }
 
@@ -144,6 +149,53 @@
         }
     }
 
+    /// The caller of a call has acknowledged its release.
+    pub fn acknowledged(&mut self, call: Call) {
+        let stream = self.routed.get(&call).copied().unwrap_or(self.own.stream());
+        self.acknowledged.entry(stream).or_default().push(call);
+    }
+
+    /// Tells those that hold a stream of the calls whose releases were acknowledged.
+    pub(super) fn tell_acknowledged(&mut self) {
+        for (stream, calls) in std::mem::take(&mut self.acknowledged) {
+            let writer =
+                if stream == self.own.stream() { Some(&self.own) } else { self.adopted.get(&stream) };
+            for holder in writer.into_iter().flat_map(Writer::holders) {
+                for calls in calls.chunks(MOST_CALLS) {
+                    let word = Word::Acknowledged { calls: calls.to_vec() };
+                    self.words.push((holder.to_string(), word));
+                }
+            }
+        }
+    }
+
+    /// The writer of a stream that is held here says which releases were acknowledged. The process is told of
+    /// those that it is about to give itself.
+    pub(super) fn take_acknowledged(&mut self, now: Millis, calls: Vec<Call>) {
+        let (own, others): (Vec<Call>, Vec<Call>) =
+            calls.into_iter().partition(|call| self.ended_here(*call) || self.left.contains_key(call));
+        for call in own.iter().chain(&others) {
+            self.remember(*call, Ended { at: now, by: EndedBy::Acknowledged });
+            self.left.remove(call);
+        }
+        if !own.is_empty() {
+            self.news.push_back(News::Given(own));
+        }
+    }
+
+    /// Another member is about to give the releases of these calls: it is told which of them were acknowledged
+    /// to a member that may be lost by now.
+    pub(super) fn answer_for_acknowledged(&mut self, from: &str, calls: &[Call]) {
+        let calls: Vec<Call> = calls.iter().copied().filter(|call| self.is_acknowledged(*call)).collect();
+        if !calls.is_empty() {
+            self.words.push((from.into(), Word::Over { count: ANSWER, calls }));
+        }
+    }
+
+    fn is_acknowledged(&self, call: Call) -> bool {
+        self.overs.get(&call).is_some_and(|ended| ended.by == EndedBy::Acknowledged)
+    }
+
     /// Calls that were given up to the successor of this member's own stream, and whose callers were told
     /// nothing here: the successor is asked to drop them, and says which of them it has ended.
     pub fn relinquish(&mut self, now: Millis, calls: Vec<Call>) {
@@ -175,7 +227,7 @@
             EndedBy::Announced(teller) => !is_pending || self.is_there(teller),
             // The process knows whether it has told the caller, or has left that to another since.
             EndedBy::Here => !is_pending,
-            EndedBy::Told => true,
+            EndedBy::Told | EndedBy::Acknowledged => true,
         }
     }
 
@@ -186,7 +238,7 @@
                 self.overs.insert(call, ended);
                 self.over_order.push_back(call);
             }
-            Some(before) if before.by == EndedBy::Here => before.at = now,
+            Some(before) if matches!(before.by, EndedBy::Here | EndedBy::Acknowledged) => before.at = now,
             Some(before) if before.by == EndedBy::Told && ended.by != EndedBy::Here => before.at = now,
             // Of two members that have announced it the one gives it whose name comes first.
             Some(Ended { at, by: EndedBy::Announced(first) })
--- a/copies/src/words.rs
+++ b/copies/src/words.rs
@@ -79,6 +79,11 @@
     HandedOver {
         count: u64,
     },
+    /// Of the writer of a stream, ahead of the changes that end with that: the callers of these calls have
+    /// acknowledged their releases.
+    Acknowledged {
+        calls: Vec<Call>,
+    },
 }
 
 /// One of several parts of a whole, in the order of calls.
--- a/copies/tests/handover.rs
+++ b/copies/tests/handover.rs
@@ -217,6 +217,39 @@
     assert!(given.is_some() && given < all_told, "{woken:?}");
 }
 
+/// Guards against a second release where the member that gave it is lost before its server heard of that: a
+/// replica answers for what was acknowledged, and for nothing that was only let go of.
+#[test]
+fn answers_for_a_release_that_was_acknowledged_to_a_lost_member() {
+    for acknowledged in [false, true] {
+        let mut pair = Pair::with_established_call();
+        pair.members[0].note(CALL, Some(Record::Owed { server: 1, cause: 16 }));
+        if acknowledged {
+            pair.members[0].acknowledged(CALL);
+        }
+        pair.members[0].note(CALL, None);
+        pair.live(1);
+        pair.members[1].take_words();
+        let asks = Word::Over { count: 9, calls: vec![CALL] };
+        pair.members[1].received(pair.now, "n9", 99, asks);
+        let claims = ("n9".to_string(), Word::Over { count: 0, calls: vec![CALL] });
+        assert_eq!(pair.members[1].take_words().contains(&claims), acknowledged, "another asks");
+        pair.members[1].passed_on(pair.now, CALL);
+        let news: Vec<News> = std::iter::from_fn(|| pair.members[1].take_news()).collect();
+        assert_eq!(news.contains(&News::Given(vec![CALL])), acknowledged, "its own server says it: {news:?}");
+    }
+}
+
+/// Guards against the same where the server is quicker than what the replica hears.
+#[test]
+fn gives_up_a_release_that_it_hears_was_acknowledged() {
+    let mut pair = Pair::with_established_call();
+    pair.members[1].passed_on(pair.now, CALL);
+    pair.members[0].acknowledged(CALL);
+    pair.members[0].note(CALL, None);
+    assert!(pair.live(1)[1].contains(&News::Given(vec![CALL])));
+}
+
 /// Guards against a release that nobody gives: its member had told the others that it is about to, and was
 /// lost before that. While that member is there, it is left to it.
 #[test]
--- a/rig/tests/delivery/net/owner.rs
+++ b/rig/tests/delivery/net/owner.rs
@@ -292,7 +292,9 @@
             Effect::Promised { call, promise, by } => {
                 self.copies.iter_mut().for_each(|copies| copies.note(call, promise, by));
             }
-            Effect::Acknowledged { call } => self.acknowledged(now, call),
+            Effect::Acknowledged { call } => {
+                self.copies.iter_mut().for_each(|copies| copies.acknowledged(call));
+            }
             Effect::PassedOn { call } => self.pass_on(now, call),
             Effect::Given { call } => self.copies.iter_mut().for_each(|copies| copies.given(call)),
             Effect::Released { client, call, .. } => {
--- a/rig/tests/delivery/ports.rs
+++ b/rig/tests/delivery/ports.rs
@@ -53,6 +53,7 @@
         Promise(CallId, Option<Promise>),
         All(Vec<(CallId, Promise)>),
         PassedOn(CallId),
+        Acknowledged(CallId),
         Given(CallId),
         Confirmed(Question),
         Relinquished(Vec<CallId>),
--- a/rig/tests/delivery/process.rs
+++ b/rig/tests/delivery/process.rs
@@ -129,6 +129,7 @@
                     self.member.replace(records.collect());
                 }
                 Note::PassedOn(call) => self.member.passed_on(now, call.0),
+                Note::Acknowledged(call) => self.member.acknowledged(call.0),
                 Note::Given(call) => self.member.given(now, call.0),
                 Note::Confirmed(question) => self.member.confirm(question),
                 Note::Relinquished(calls) => {
