--- a/agent/src/net/owner/tests.rs
+++ b/agent/src/net/owner/tests.rs
@@ -136,8 +136,8 @@
 }
 
 /// Guards against a release that is given twice because its process is lost: whoever holds a replica answers
-/// for it. And against a call that stands at a successor for ever: its server, which would be told ahead of the
-/// replicas, never says the release again.
+/// for it. And against a call that stands at a successor for ever: its server, which would be told ahead of
+/// the replicas, never says the release again.
 #[test]
 fn replicas_hear_of_an_acknowledged_release_ahead_of_its_server() {
     let (mut owner, mut inbox, link, mut to_server, _lease, mut notes) = with_noted_copies();
--- a/copies/src/member/handover.rs
+++ b/copies/src/member/handover.rs
@@ -137,8 +137,8 @@
     }
 
     /// The process has told the caller of a call that it is over, which another member is about to do: it is
-    /// told so once, since it waits for that for less time than a second word would take. Whoever asks is told
-    /// also where it is not among the members that are alive yet, as one that has just woken.
+    /// told so once, since it waits for that for less time than a second word would take. Whoever asks is
+    /// told also where it is not among the members that are alive yet, as one that has just woken.
     pub fn given(&mut self, now: Millis, call: Call) {
         self.remember(call, Ended { at: now, by: EndedBy::Here });
         let asking = self.questions.iter().map(|question| &question.from);
@@ -183,8 +183,8 @@
         }
     }
 
-    /// Another member is about to give the releases of these calls: it is told which of them were acknowledged
-    /// to a member that may be lost by now.
+    /// Another member is about to give the releases of these calls: it is told which of them were
+    /// acknowledged to a member that may be lost by now.
     pub(super) fn answer_for_acknowledged(&mut self, from: &str, calls: &[Call]) {
         let calls: Vec<Call> = calls.iter().copied().filter(|call| self.is_acknowledged(*call)).collect();
         if !calls.is_empty() {
--- a/copies/tests/handover.rs
+++ b/copies/tests/handover.rs
@@ -196,8 +196,8 @@
     assert!(relinquished(&woken) && !woken.contains(&News::Given(vec![CALL])), "{woken:?}");
 }
 
-/// Guards against a release that the member that wakes gives, since the answer that its successor has given it
-/// went to those alone whom the successor takes for alive.
+/// Guards against a release that the member that wakes gives, since the answer that its successor has given
+/// it went to those alone whom the successor takes for alive.
 #[test]
 fn says_to_whoever_asks_that_it_has_given_a_release() {
     let mut pair = Pair::with_established_call();
@@ -236,7 +236,8 @@
         assert_eq!(pair.members[1].take_words().contains(&claims), acknowledged, "another asks");
         pair.members[1].passed_on(pair.now, CALL);
         let news: Vec<News> = std::iter::from_fn(|| pair.members[1].take_news()).collect();
-        assert_eq!(news.contains(&News::Given(vec![CALL])), acknowledged, "its own server says it: {news:?}");
+        let given = news.contains(&News::Given(vec![CALL]));
+        assert_eq!(given, acknowledged, "its own server says it: {news:?}");
     }
 }
 
--- a/core/src/promise.rs
+++ b/core/src/promise.rs
@@ -2,8 +2,9 @@
 //! agent that was lost. Nothing of it happens unless it is asked for ([`Core::tell_promises`]).
 //!
 //! While it is not known whether another has taken over ([`Core::doubt`]), nothing is said of calls of before
-//! on this call agent's own account. What a server says of one meanwhile is passed on, since it says so to one
-//! call agent alone, once the others have been asked whether they have told the caller ([`super::unclaimed`]).
+//! on this call agent's own account. What a server says of one meanwhile is passed on, since it says so to
+//! one call agent alone, once the others were asked whether they have told the caller
+//! ([`super::unclaimed`]).
 
 use std::collections::BTreeSet;
 
--- a/core/src/tests/unclaimed.rs
+++ b/core/src/tests/unclaimed.rs
@@ -171,8 +171,8 @@
     }
 }
 
-/// Guards against a release that nobody gives: a successor that knew of no more than an attempt has called that
-/// off, and is asked by the member that woke, whose caller was told that the call is established.
+/// Guards against a release that nobody gives: a successor that knew of no more than an attempt has called
+/// that off, and is asked by the member that woke, whose caller was told that the call is established.
 #[test]
 fn claims_no_call_whose_attempt_it_only_called_off() {
     let mut stand = other_member();
