Give the release of a call that is bound to a circuit at once, also in doubt

Since a member that wakes held such a release for 0.8 s: it asked nobody, since calls over M3UA are copied to nobody, and waited for answers all the same. Found by reading. The test fails without it.

--- a/core/src/relay.rs
+++ b/core/src/relay.rs
@@ -211,7 +211,8 @@
         cause: ReleaseCause,
     ) {
         let client = standing.client;
-        if self.is_doubted(standing.since) {
+        // Calls that are bound to circuits are no other member's.
+        if self.is_doubted(standing.since) && BoundCall::of(call).is_none() {
             let left = LeftTo::Nobody;
             return self.hold_unclaimed(now, call, Unclaimed { client, server, cause, left });
         }
--- a/core/src/tests.rs
+++ b/core/src/tests.rs
@@ -691,6 +691,22 @@
     assert!(said(stand.pass(1_000 * MS)) > 0);
 }
 
+/// Guards against a release that waits for what nobody is asked: such a call is no other member's.
+#[test]
+fn in_doubt_the_release_of_a_call_that_is_bound_to_a_circuit_is_given_at_once() {
+    let mut stand = with_promises();
+    let bound = BoundCall { client: 3, circuit: 7, start: 1 };
+    let (client, call) = (bound.client_id(), bound.id(1));
+    stand.core.client_opened(stand.now, client, None);
+    stand.offer_from(client, call.0, 1_000 * MS);
+    stand.answer(ONE, call.0);
+    stand.core.doubt(stand.now + 1, true);
+    stand.now += 1;
+    let ended = stand.end(ONE, call.0, ReleaseCause::NORMAL);
+    let gives = Effect::Released { client, call, cause: ReleaseCause::NORMAL };
+    assert!(ended.contains(&gives), "{ended:?}");
+}
+
 #[test]
 fn what_another_has_taken_over_is_given_up() {
     let mut stand = with_promises();
