Log when servers and discovery are out of reach, and releases in vain, with times

Lines about servers, callers, signals and service discovery carry the Unix time now; stats has figures for each. No change of what is decided.

--- a/agent/src/board/mod.rs
+++ b/agent/src/board/mod.rs
@@ -29,7 +29,12 @@
         let address = *place.borrow_and_update();
         let listening = async {
             if let Some(address) = address {
-                let _ = listen(address, &mut last, &shared).await;
+                shared.tally(|tallies| tallies.discovery_calls += 1);
+                let end = listen(address, &mut last, &shared).await;
+                shared.tally(|tallies| tallies.discovery_failures += 1);
+                let end = end.map_or_else(|error| error.kind().to_string(), |()| "closed".to_string());
+                let line = format!("service discovery at {address}: {end}, at event {last}");
+                shared.discovery.say(shared.clock.now(), &line);
                 sleep(PAUSE).await;
             } else {
                 std::future::pending::<()>().await;
--- a/agent/src/net/links.rs
+++ b/agent/src/net/links.rs
@@ -228,6 +228,8 @@
     pause: Micros,
     /// Since when it has been without a connection, after it had one.
     lost: Option<Micros>,
+    /// When the last word came from it, on any connection, or one came up or was ended by it.
+    heard: Micros,
 }
 
 impl Link {
@@ -260,6 +262,14 @@
     }
 }
 
+/// A server that nothing has come from for too long.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct OutOfReach {
+    pub server: ServerId,
+    /// How long ago the last word came.
+    pub silent_for: Micros,
+}
+
 /// What has to be done about a silent connection.
 pub enum Watch {
     /// Is tested, by this connection.
@@ -317,6 +327,7 @@
             beat: None,
             pause: FIRST_PAUSE,
             lost: None,
+            heard: now,
         };
         self.links.insert(server, link);
         had
@@ -381,6 +392,7 @@
     pub fn up(&mut self, id: LinkId, outbox: Outbox<ToServer>, now: Micros) -> (Vec<LinkId>, Vec<CallId>) {
         let Some(link) = self.links.get_mut(&id.server) else { return Default::default() };
         (link.pause, link.lost, link.beat) = (FIRST_PAUSE, None, None);
+        link.heard = now;
         let conn = Conn::new(id.epoch, outbox, now);
         match std::mem::replace(&mut link.state, State::Up(conn)) {
             State::Up(conn) => {
@@ -437,6 +449,9 @@
         }
         // A second connection that cannot be had tells that the first is no better.
         let was_up = matches!(loss, LinkLoss::Dropped | LinkLoss::Unreadable);
+        if was_up {
+            link.heard = now;
+        }
         if loss == LinkLoss::Unreadable {
             link.follow_up = Some(now + FOLLOW_UP);
         }
@@ -451,6 +466,7 @@
     /// Something came on a connection: about a call, or an answer to a test, or neither.
     pub fn heard(&mut self, id: LinkId, about: Option<CallId>, tested: bool, now: Micros) {
         let Some(link) = self.links.get_mut(&id.server) else { return };
+        link.heard = now;
         match (&mut link.state, &mut link.former) {
             (State::Up(conn), former) if conn.epoch == id.epoch => {
                 link.beat = None;
@@ -593,12 +609,12 @@
     }
 
     /// Servers that have been out of reach for too long; each is named once.
-    pub fn out_of_reach(&mut self, now: Micros) -> Vec<ServerId> {
+    pub fn out_of_reach(&mut self, now: Micros) -> Vec<OutOfReach> {
         let late =
             self.links.iter_mut().filter(|(_, link)| link.lost.is_some_and(|at| at + OUT_OF_REACH <= now));
         late.map(|(server, link)| {
             link.lost = None;
-            *server
+            OutOfReach { server: *server, silent_for: now - link.heard }
         })
         .collect()
     }
--- a/agent/src/net/owner.rs
+++ b/agent/src/net/owner.rs
@@ -1,6 +1,6 @@
 //! The owner of the core: hands it what comes in and carries out what follows.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
 
 use steprelay_core::duty::State;
@@ -19,9 +19,9 @@
 use settle::Deferred;
 
 use super::copies::{Copies, CopiesEnd};
-use super::links::{Links, Silence, Watch};
+use super::links::{Links, OutOfReach, Silence, Watch};
 use crate::ports::conn::Outbox;
-use crate::ports::{Input, LinkId, OnDuty, Shared, Snapshot, ToClient, Way};
+use crate::ports::{log, Input, LinkId, OnDuty, Shared, Snapshot, ToClient, Way};
 use crate::trace;
 
 /// It looks so often whether all is answered.
@@ -42,6 +42,8 @@
     dial: Dial,
     clients: BTreeMap<ClientId, Outbox<ToClient>>,
     links: Links,
+    /// Servers of which the last dial failed.
+    unreachable: BTreeSet<ServerId>,
     /// Where what is promised is copied to others.
     copies: Option<Copies>,
     deferred: Deferred,
@@ -71,6 +73,7 @@
             dial,
             clients: BTreeMap::new(),
             links: Links::default(),
+            unreachable: BTreeSet::new(),
             copies: None,
             deferred: Deferred::default(),
             unsent: UnsentReleases::default(),
@@ -173,8 +176,8 @@
         }
         self.flush(&mut queue).await;
         let counts = self.core.counts();
-        eprintln!(
-            "steprelay: stopped; offered {}, stood {}, refused {}, failed {}, gone {}, stand {}, breaches {}",
+        log::event(format_args!(
+            "stopped; offered {}, stood {}, refused {}, failed {}, gone {}, stand {}, breaches {}",
             counts.offered,
             counts.stood,
             counts.refused,
@@ -182,7 +185,7 @@
             counts.abandoned,
             self.core.standing(),
             Breach::ALL.iter().map(|&breach| counts.breaches(breach)).sum::<u64>()
-        );
+        ));
         self.core.duty().ends_by()
     }
 
@@ -222,6 +225,9 @@
             Input::ReleaseHeard { client, call } => self.core.release_heard(now, client, call),
             Input::LinkUp { link, outbox } if self.links.is_current(link) => {
                 trace::link(link, "is up");
+                if self.unreachable.remove(&link.server) {
+                    log::event(format_args!("server {}: reached again", link.server.0));
+                }
                 let (both, out) = self.links.up(link, outbox, now);
                 for link in both {
                     self.test(link);
@@ -233,6 +239,9 @@
                 let out = self.links.lost(link, loss, now);
                 self.attempts_lost(now, link.server, out, "went with its connection");
                 if matches!(loss, LinkLoss::Refused | LinkLoss::Unanswered) {
+                    if self.unreachable.insert(link.server) {
+                        log::event(format_args!("server {}: cannot be reached: {loss:?}", link.server.0));
+                    }
                     self.core.link_lost(now, link.server, loss);
                 }
             }
@@ -312,7 +321,8 @@
                 let _ = asked.send(done.map(|()| state));
             }
             Input::Stop { replaced, at } => {
-                eprintln!("steprelay: told to stop, {} set-ups are unanswered", self.core.unanswered());
+                let unanswered = self.core.unanswered();
+                log::event(format_args!("told to stop, {unanswered} set-ups are unanswered"));
                 self.core.stop(at, replaced);
                 self.duty_changed(State::Stopping);
             }
@@ -343,6 +353,7 @@
                 self.not_sent(now, server, call, NotSent::Withdrawn);
             }
             if state == Readiness::Gone && self.links.remove(server) {
+                self.unreachable.remove(&server);
                 self.core.link_lost(now, server, LinkLoss::Dropped);
             }
         }
@@ -351,8 +362,8 @@
     /// Tells the clients that have a word for it in their signalling.
     fn duty_changed(&self, state: State) {
         match state {
-            State::Starting | State::Serving => eprintln!("steprelay: active, clients are welcome"),
-            State::Standby => eprintln!("steprelay: standby, clients are sent away"),
+            State::Starting | State::Serving => log::event("active, clients are welcome"),
+            State::Standby => log::event("standby, clients are sent away"),
             State::Stopping => {}
         }
         for outbox in self.clients.values() {
@@ -380,10 +391,8 @@
             match found {
                 Watch::Test(link) => self.test(link),
                 Watch::Relieve(link, way) => {
-                    eprintln!(
-                        "steprelay: server {}: its connection is silent, another is dialled",
-                        link.server.0
-                    );
+                    let server = link.server.0;
+                    log::event(format_args!("server {server}: its connection is silent, another is dialled"));
                     (self.dial)(link, way);
                 }
                 Watch::FollowUp(link, way) => (self.dial)(link, way),
@@ -392,8 +401,13 @@
                 }
             }
         }
-        for server in self.links.out_of_reach(now) {
-            self.core.out_of_reach(now, server);
+        for OutOfReach { server, silent_for } in self.links.out_of_reach(now) {
+            let ended = self.core.out_of_reach(now, server);
+            log::event(format_args!(
+                "server {}: out of reach, nothing heard for {:.1} s, {ended} calls there are released",
+                server.0,
+                silent_for as f64 / 1e6
+            ));
         }
     }
 
--- a/agent/src/net/owner/effects.rs
+++ b/agent/src/net/owner/effects.rs
@@ -5,7 +5,7 @@
 
 use super::Owner;
 use crate::ports::dispatch::Dispatch;
-use crate::ports::{ToClient, ToServer};
+use crate::ports::{log, ToClient, ToServer};
 use crate::trace;
 
 impl Owner {
@@ -109,7 +109,11 @@
                     outbox.cut();
                 }
             }
-            Effect::Log(text) => eprintln!("steprelay: {text}"),
+            Effect::DeliveryAbandoned { deliveries, .. } => {
+                let line = format!("a release is given up, {deliveries} connections did not acknowledge it");
+                self.shared.abandoned.say(now, &line);
+            }
+            Effect::Log(text) => log::event(text),
             Effect::Promised { call, promise, by } => {
                 if let Some(copies) = &mut self.copies {
                     copies.note(call, promise, by);
@@ -152,7 +156,7 @@
     pub(super) fn tell(&mut self, client: ClientId, message: ToClient) {
         if self.clients.get(&client).is_some_and(|outbox| !outbox.post(message)) {
             if let Some(outbox) = self.clients.remove(&client) {
-                eprintln!("steprelay: a client does not read, its connection is cut");
+                log::event("a client does not read, its connection is cut");
                 outbox.cut();
             }
         }
--- a/agent/src/ops/line.rs
+++ b/agent/src/ops/line.rs
@@ -88,6 +88,13 @@
     put("reloads.taken", figures.tallies.reloads_taken);
     put("reloads.refused", figures.tallies.reloads_refused);
     put("reports.unfit", figures.tallies.unfit_figures);
+    put("servers.out_of_reach", figures.counts.servers_out_of_reach);
+    put("releases.out_of_reach", figures.counts.ended_out_of_reach);
+    put("releases.redelivered", figures.counts.releases_redelivered);
+    put("releases.unacknowledged", figures.counts.releases_unacknowledged);
+    put("releases.lost", figures.counts.releases_lost);
+    put("discovery.calls", figures.tallies.discovery_calls);
+    put("discovery.failures", figures.tallies.discovery_failures);
     if let Some(fleet) = &figures.fleet {
         for (name, value) in fleet_figures(fleet) {
             put(&format!("fleet.{name}"), value);
--- a/agent/src/ports/mod.rs
+++ b/agent/src/ports/mod.rs
@@ -5,6 +5,7 @@
 pub mod conn;
 pub mod copies;
 pub mod dispatch;
+pub mod log;
 pub mod pool;
 pub mod seldom;
 
@@ -300,6 +301,9 @@
     pub reloads_refused: u64,
     /// Figures in servers' reports that the settings do not name, or that cannot be.
     pub unfit_figures: u64,
+    /// Calls to service discovery, and those that failed or ended.
+    pub discovery_calls: u64,
+    pub discovery_failures: u64,
 }
 
 /// What every task of a connection needs.
@@ -311,6 +315,10 @@
     pub inputs: mpsc::Sender<Input>,
     /// Says what can't be read.
     pub unreadable: Rc<Seldom>,
+    /// Lines about releases that nobody acknowledged.
+    pub abandoned: Rc<Seldom>,
+    /// Lines about calls to service discovery that failed.
+    pub discovery: Rc<Seldom>,
     /// The ids of calls that come without one, and of probes, are drawn from this.
     pub calls: Rc<Cell<u64>>,
     /// Messages that are on their way through a front and not written yet.
@@ -341,6 +349,8 @@
             site,
             inputs,
             unreadable: Rc::default(),
+            abandoned: Rc::default(),
+            discovery: Rc::default(),
             calls: Rc::default(),
             unwritten: Rc::default(),
             tallies: Rc::default(),
--- a/agent/src/ports/seldom.rs
+++ b/agent/src/ports/seldom.rs
@@ -4,6 +4,8 @@
 
 use steprelay_decisions::Micros;
 
+use super::log;
+
 const PAUSE: Micros = 1_000_000;
 
 #[derive(Default)]
@@ -20,8 +22,8 @@
         }
         self.next.set(now + PAUSE);
         match self.left_out.take() {
-            0 => eprintln!("steprelay: {line}"),
-            more => eprintln!("steprelay: {line} ({more} lines like this were left out)"),
+            0 => log::event(line),
+            more => log::event(format_args!("{line} ({more} lines like this were left out)")),
         }
     }
 }
--- a/agent/src/serve.rs
+++ b/agent/src/serve.rs
@@ -25,7 +25,7 @@
 use crate::net::owner::Owner;
 use crate::ops;
 use crate::ports::clock::Clock;
-use crate::ports::{Input, LinkId, Shared, Way};
+use crate::ports::{log, Input, LinkId, Shared, Way};
 use crate::snmp::{self, SnmpConfig};
 
 /// Inputs that may wait for the owner.
@@ -175,12 +175,12 @@
             Ok(config) => {
                 let named = config.board.map_or_else(|| "none".to_string(), |address| address.to_string());
                 shared.tally(|tallies| tallies.reloads_taken += 1);
-                eprintln!("steprelay: configuration read again, the notice board is {named}");
+                log::event(format_args!("configuration read again, the notice board is {named}"));
                 board.send_if_modified(|board| std::mem::replace(board, config.board) != config.board);
             }
             Err(error) => {
                 shared.tally(|tallies| tallies.reloads_refused += 1);
-                eprintln!("steprelay: configuration not taken, the one before stays: {error}");
+                log::event(format_args!("configuration not taken, the one before stays: {error}"));
             }
         }
     }
@@ -232,7 +232,7 @@
             Ok((stream, _)) => return Some(stream),
             Err(error) => {
                 // Out of descriptors, most often: it passes when connections close.
-                eprintln!("steprelay: cannot take a connection: {error}");
+                log::event(format_args!("cannot take a connection: {error}"));
                 sleep(Duration::from_millis(50)).await;
             }
         }
--- a/agent/src/trace.rs
+++ b/agent/src/trace.rs
@@ -171,6 +171,9 @@
         Effect::AskIfSilent { client, call } => {
             trace!("{} release not acknowledged by {}, which is asked for", Id(*call), client.0)
         }
+        Effect::DeliveryAbandoned { call, deliveries } => {
+            trace!("{} release is given up, {deliveries} connections did not acknowledge it", Id(*call))
+        }
         Effect::Released { client, call, cause } => {
             trace!("{} released to {} cause {}", Id(*call), client.0, cause.0)
         }
--- a/core/src/book.rs
+++ b/core/src/book.rs
@@ -61,6 +61,12 @@
     pub cut: u64,
     pub released_unknown: u64,
     pub releases_lost: u64,
+    /// Releases that were given to a further connection, and those that were given and never acknowledged.
+    pub releases_redelivered: u64,
+    pub releases_unacknowledged: u64,
+    /// How often a server was given up as out of reach, and calls that ended with that.
+    pub servers_out_of_reach: u64,
+    pub ended_out_of_reach: u64,
     pub answered_late: u64,
     /// Connections of clients that were ended for the sake of others.
     pub let_go: u64,
--- a/core/src/delivery.rs
+++ b/core/src/delivery.rs
@@ -270,9 +270,13 @@
 
     /// Nobody waits for a release any more.
     fn abandon_delivery(&mut self, call: CallId) {
-        if self.deliveries.pending.contains(&call) {
-            self.book.counts.releases_lost += 1;
+        let Some(release) = self.deliveries.releases.get(&call) else { return };
+        let deliveries = release.given.len();
+        match self.deliveries.pending.contains(&call) {
+            true => self.book.counts.releases_lost += 1,
+            false => self.book.counts.releases_unacknowledged += 1,
         }
+        self.effects.push(Effect::DeliveryAbandoned { call, deliveries });
         self.deliveries.forget(call);
         self.promise(call, None, None);
     }
@@ -298,6 +302,7 @@
             return;
         }
         let Some(client) = self.clients.taker(release.client, &release.given, untested) else { return };
+        self.book.counts.releases_redelivered += u64::from(!release.given.is_empty());
         self.effects.push(Effect::Released { client, call, cause: release.cause });
         release.given.push(client);
         (release.given_at, release.stage, release.due) = (now, Stage::Queued, now + SENT_WITHIN);
--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -120,6 +120,11 @@
         client: ClientId,
         call: CallId,
     },
+    /// Nobody acknowledged a release that so many connections were given, and nobody waits for it any more.
+    DeliveryAbandoned {
+        call: CallId,
+        deliveries: usize,
+    },
     /// The client's connection is ended.
     Close {
         client: ClientId,
--- a/core/src/relay.rs
+++ b/core/src/relay.rs
@@ -252,9 +252,15 @@
         self.note_gone(server, before);
     }
 
-    /// A server has been out of reach for longer than what stood there can be left without a release.
-    pub fn out_of_reach(&mut self, now: Micros, server: ServerId) {
+    /// A server has been out of reach for longer than what stood there can be left without a release; returns
+    /// how many calls ended with that.
+    pub fn out_of_reach(&mut self, now: Micros, server: ServerId) -> usize {
+        let before = self.relay.standing();
         self.server_dead(now, server, Micros::MAX);
+        let ended = before - self.relay.standing();
+        self.book.counts.servers_out_of_reach += 1;
+        self.book.counts.ended_out_of_reach += ended as u64;
+        ended
     }
 
     pub(super) fn call_over(
--- a/rig/tests/delivery/net/owner.rs
+++ b/rig/tests/delivery/net/owner.rs
@@ -318,7 +318,7 @@
             | Effect::CloseIfPaused { client, .. }
             | Effect::Resume { client }
             | Effect::Close { client } => self.said.push(Said::Caller(client, effect)),
-            Effect::Probe { .. } | Effect::Log(_) => {}
+            Effect::Probe { .. } | Effect::Log(_) | Effect::DeliveryAbandoned { .. } => {}
         }
     }
 }
