--- /dev/null
+++ b/agent/tests/outages.rs
@@ -0,0 +1,158 @@
+//! Established calls whose server is gone without a word: its machine has vanished, so that its connections
+//! stay open and silent and no new one comes up. Their callers hear of the end in time whatever the program
+//! was doing with that server.
+
+mod common;
+
+use std::thread::JoinHandle;
+use std::time::{Duration, Instant};
+
+use common::*;
+use serde_json::json;
+
+const CALL: u64 = 1;
+/// Calls of other connections have ids from here on.
+const OTHERS: u64 = 1 << 32;
+/// A release that its server can't send comes within this of the call's end (protocol, the rules on sockets).
+const RELEASED_WITHIN: Duration = Duration::from_millis(8_050);
+/// A release that its server has sent comes within this.
+const PASSED_ON_WITHIN: Duration = Duration::from_millis(1_050);
+
+/// What the program was doing with a server as its machine vanished.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Meanwhile {
+    /// Nothing: its connection was quiet.
+    Quiet,
+    /// Set-ups went on.
+    Calling,
+    /// Its first connection was taken for silent, and a second one had just come up.
+    Relieving,
+    /// The same, and the second one had proved that the server is there.
+    Relieved,
+    /// The connection was closed by its server, and another one had just come up.
+    Redialled,
+}
+
+use Meanwhile::*;
+
+/// Calls on and on, and reads what it is told.
+fn keep_calling(agent: &Agent) {
+    let mut caller = agent.caller();
+    std::thread::spawn(move || {
+        for call in OTHERS.. {
+            let set_up = format!("{}\n", offer(call, 1_000, 0));
+            if std::io::Write::write_all(&mut caller.stream, set_up.as_bytes()).is_err() {
+                return;
+            }
+            pass(Duration::from_millis(100));
+        }
+    });
+}
+
+/// A caller's call stands and its server vanishes; how long after that the caller is told of the end.
+fn told_after(meanwhile: Meanwhile) -> Duration {
+    let mut server = Narrow::new();
+    let agent = Setting::new(&[server.server.address]).start();
+    let mut first = server.accept();
+    let mut caller = agent.caller();
+    stand(&mut caller, &mut first, CALL);
+    let mut kept = Vec::new();
+    match meanwhile {
+        Quiet => server.fill(),
+        Calling => {
+            server.fill();
+            keep_calling(&agent);
+        }
+        Relieving | Relieved => {
+            let mut other = agent.caller();
+            other.offer(OTHERS, 9_000, 0);
+            let mut second = server.accept();
+            if meanwhile == Relieved {
+                assert!(second.answered_test());
+            }
+            server.fill();
+            kept.extend([second, other]);
+        }
+        Redialled => {
+            close(first.stream.try_clone().expect("clonable"));
+            kept.push(server.only());
+        }
+    }
+    let vanished = Instant::now();
+    caller.expect("end", CALL);
+    let told_after = vanished.elapsed();
+    drop((first, kept));
+    told_after
+}
+
+#[test]
+fn calls_of_a_server_that_vanished_are_released_in_time() {
+    let cases = [Quiet, Calling, Relieving, Relieved, Redialled];
+    let plays: Vec<(Meanwhile, JoinHandle<Duration>)> =
+        cases.map(|meanwhile| (meanwhile, std::thread::spawn(move || told_after(meanwhile)))).into();
+    let told: Vec<_> =
+        plays.into_iter().map(|(meanwhile, play)| (meanwhile, play.join().expect("it is played"))).collect();
+    println!("told after: {told:?}");
+    assert!(told.iter().all(|(_, after)| *after <= RELEASED_WITHIN), "{told:?}");
+}
+
+/// Connections that make a call each, take it back, and read nothing after that.
+fn deaf(agent: &Agent, server: &mut Lines, count: u64) -> Vec<Lines> {
+    let call = |number| {
+        let mut deaf = agent.caller();
+        deaf.offer(OTHERS + number, 9_000, 0);
+        server.expect("offer", OTHERS + number);
+        deaf.say(end(OTHERS + number, 16));
+        server.expect("end", OTHERS + number);
+        deaf
+    };
+    (0..count).map(call).collect()
+}
+
+#[test]
+fn a_release_reaches_a_caller_that_listens_behind_many_that_do_not() {
+    let server = Server::new();
+    let agent = Setting::new(&[server.address]).start();
+    let mut at = server.accept();
+    let mut first = agent.caller();
+    stand(&mut first, &mut at, CALL);
+    let mut listens = agent.caller();
+    stand(&mut listens, &mut at, 2);
+    let deaf = deaf(&agent, &mut at, 12);
+    Leaves::Closes.now(first, []);
+    let released = Instant::now();
+    at.say(end(CALL, 16));
+    listens.expect("end", CALL);
+    assert!(released.elapsed() <= PASSED_ON_WITHIN, "{:?}", released.elapsed());
+    listens.say(json!({"op": "ended", "call": hex(CALL), "with": {}}));
+    drop(deaf);
+}
+
+#[test]
+fn a_release_reaches_another_caller_where_the_first_talks_on_and_never_acknowledges() {
+    let server = Server::new();
+    let agent = Setting::new(&[server.address]).start();
+    let mut at = server.accept();
+    let mut talks = agent.caller();
+    stand(&mut talks, &mut at, 2);
+    stand(&mut talks, &mut at, CALL);
+    at.say(end(2, 16));
+    talks.expect("end", 2);
+    at.expect("ended", 2);
+    talks.say(json!({"op": "ended", "call": hex(2), "with": {}}));
+    talks.settle();
+    let mut listens = agent.caller();
+    stand(&mut listens, &mut at, 3);
+    let released = Instant::now();
+    at.say(end(CALL, 16));
+    let talking = std::thread::spawn(move || {
+        let test = format!("{}\n", json!({"op": "test", "call": hex(4), "with": {}, "why": 0}));
+        while released.elapsed() < RELEASED_WITHIN {
+            std::io::Write::write_all(&mut talks.stream, test.as_bytes()).expect("it takes what is written");
+            pass(Duration::from_millis(50));
+        }
+    });
+    listens.expect("end", CALL);
+    assert!(released.elapsed() <= RELEASED_WITHIN, "{:?}", released.elapsed());
+    talking.join().expect("it talks");
+}
