Count a server's time out of reach from its last sign, not from the failed dial

Cause: Links::out_of_reach counted 6.5 s from the first dial that failed. Before that dial came up to 4 s of quiet, the patience with a test (up to 2 s) or 3 s without proof for a connection that was being relieved, and 0.5 s for the dial itself; all of it was added. Why it holds: the limit runs from the call's end, which is after the server's last sign; 7.3 s from that sign (a word, a connection that came up or was ended by it) leaves time for a second connection to the caller. The verdict waits for what had arrived to be read, and for a dial that is 0.5 s old. A quiet connection is still tested within the same times.

--- a/agent/src/net/links.rs
+++ b/agent/src/net/links.rs
@@ -16,9 +16,11 @@
 
 const FIRST_PAUSE: Micros = 100_000;
 const LONGEST_PAUSE: Micros = 1_000_000;
-/// What stood at a server that cannot be reached has ended after this long, seen from its caller: the limit
-/// for its release is 8 s.
-const OUT_OF_REACH: Micros = 6_500_000;
+/// What stood at a server that has given no sign for so long, though it was dialled, has ended: the limit for
+/// its release is 8 s from the end, and the rest is for a second connection to its caller.
+const OUT_OF_REACH: Micros = 7_300_000;
+/// A dial that began less than this ago tells nothing yet.
+const DIAL_TELLS_AFTER: Micros = 500_000;
 /// A connection that owes a word is taken for silent after so many times the longest pause it lately made,
 /// or after what all servers' pauses tell if that is longer, within these bounds: a server that is short of
 /// processor answers late on a connection that is well, and of one that is asked now and then little is
@@ -43,10 +45,9 @@
 const GRACE: Micros = 80_000;
 /// Without an answer on either, the first is closed after this.
 const NO_PROOF: Micros = 3_000_000;
-/// A release comes within 8 s of the call's end whatever its connection does; the last second is for a dial
-/// and the way.
-const RELEASED: Micros = 7_000_000;
-const _: () = assert!(SOON_QUIET + LATE + NO_PROOF <= RELEASED);
+/// A connection is known to be silent, or has a second one in its place, within this of its last word.
+const NOTICED: Micros = 7_000_000;
+const _: () = assert!(SOON_QUIET + LATE + NO_PROOF <= NOTICED && NOTICED < OUT_OF_REACH);
 /// From one second connection to the next: where the way is bad, the second may soon be silent too.
 const RELIEF_PAUSE: Micros = 300_000;
 /// Behind the redial of a connection that was closed on this side another follows after this: what its server
@@ -169,7 +170,7 @@
     /// It owes nothing, and has brought nothing for longer than it lately did, or than the limit for a
     /// release allows: what follows a test that is not answered takes its time too.
     fn is_quiet(&self, of_all: Pauses, now: Micros) -> bool {
-        let latest = RELEASED - NO_PROOF - self.patience(of_all);
+        let latest = NOTICED - NO_PROOF - self.patience(of_all);
         let usual = self.pause.map_or(latest, |pause| (QUIET * pause).clamp(SOON_QUIET, latest));
         self.owes.is_none() && now >= self.heard + usual
     }
@@ -226,10 +227,14 @@
     /// When a heartbeat was sent to a silent peer of the M3UA front.
     beat: Option<Micros>,
     pause: Micros,
-    /// Since when it has been without a connection, after it had one.
-    lost: Option<Micros>,
-    /// When the last word came from it, on any connection, or one came up or was ended by it.
+    /// It is without a connection, after it had one.
+    lost: bool,
+    /// When it last gave a sign: a word on any connection, or one that came up or was ended by it.
     heard: Micros,
+    /// When it was first dialled since then.
+    dialled: Option<Micros>,
+    /// What stood there was given up, and it has given no sign since.
+    given_up: bool,
 }
 
 impl Link {
@@ -246,6 +251,17 @@
 }
 
 impl Link {
+    /// It has given a sign.
+    fn heard(&mut self, now: Micros) {
+        (self.heard, self.dialled, self.given_up) = (now, None, false);
+    }
+
+    /// When it counts as out of reach, unless it gives a sign until then.
+    fn out_of_reach_at(&self) -> Option<Micros> {
+        let dialled = self.dialled.filter(|_| !self.given_up)?;
+        Some((self.heard + OUT_OF_REACH).max(dialled + DIAL_TELLS_AFTER))
+    }
+
     /// Has another connection dialled, unless one is already.
     fn relieve(&mut self, server: ServerId, epochs: &mut u64, now: Micros) -> Option<Watch> {
         if self.relief.is_some() || !matches!(self.state, State::Up(_)) {
@@ -256,6 +272,7 @@
             former.conn.finish();
         }
         *epochs += 1;
+        self.dialled.get_or_insert(now);
         self.relief = Some(*epochs);
         self.relief_after = now + RELIEF_PAUSE;
         Some(Watch::Relieve(LinkId { server, epoch: *epochs }, self.way))
@@ -326,8 +343,10 @@
             follow_up: None,
             beat: None,
             pause: FIRST_PAUSE,
-            lost: None,
+            lost: false,
             heard: now,
+            dialled: None,
+            given_up: false,
         };
         self.links.insert(server, link);
         had
@@ -358,6 +377,7 @@
         for (server, link) in &mut self.links {
             if matches!(link.state, State::Down(at) if at <= now) {
                 self.epochs += 1;
+                link.dialled.get_or_insert(now);
                 link.state = State::Dialling(self.epochs, Vec::new());
                 due.push((LinkId { server: *server, epoch: self.epochs }, link.way));
             }
@@ -367,7 +387,7 @@
 
     /// Whether no first dial of a server is under way.
     pub fn are_settled(&self) -> bool {
-        !self.links.values().any(|link| matches!(link.state, State::Dialling(..)) && link.lost.is_none())
+        !self.links.values().any(|link| matches!(link.state, State::Dialling(..)) && !link.lost)
     }
 
     /// Whether what has arrived has to be read before a silence is judged.
@@ -379,20 +399,23 @@
         if self.overdue {
             return Some(0);
         }
-        let times = self.links.values().filter_map(|link| match link.state {
-            State::Down(at) => Some(at),
-            State::Up(_) => link.follow_up,
-            _ => None,
+        let times = self.links.values().flat_map(|link| {
+            let dialled_at = match link.state {
+                State::Down(at) => Some(at),
+                State::Up(_) => link.follow_up,
+                _ => None,
+            };
+            [dialled_at, link.out_of_reach_at()]
         });
-        times.min()
+        times.flatten().min()
     }
 
     /// A connection is there. Where it relieves another, both are to be tested, which tells whether that one
     /// is dead or its server only slow; returns these, and the set-ups that went with one before them.
     pub fn up(&mut self, id: LinkId, outbox: Outbox<ToServer>, now: Micros) -> (Vec<LinkId>, Vec<CallId>) {
         let Some(link) = self.links.get_mut(&id.server) else { return Default::default() };
-        (link.pause, link.lost, link.beat) = (FIRST_PAUSE, None, None);
-        link.heard = now;
+        (link.pause, link.lost, link.beat) = (FIRST_PAUSE, false, None);
+        link.heard(now);
         let conn = Conn::new(id.epoch, outbox, now);
         match std::mem::replace(&mut link.state, State::Up(conn)) {
             State::Up(conn) => {
@@ -450,7 +473,7 @@
         // A second connection that cannot be had tells that the first is no better.
         let was_up = matches!(loss, LinkLoss::Dropped | LinkLoss::Unreadable);
         if was_up {
-            link.heard = now;
+            link.heard(now);
         }
         if loss == LinkLoss::Unreadable {
             link.follow_up = Some(now + FOLLOW_UP);
@@ -458,7 +481,7 @@
         let pause = if was_up { 0 } else { link.pause };
         link.pause = (2 * link.pause).min(LONGEST_PAUSE);
         if was_up || link.relief == Some(id.epoch) {
-            link.lost = Some(now);
+            link.lost = true;
         }
         link.end(State::Down(now + pause))
     }
@@ -466,7 +489,7 @@
     /// Something came on a connection: about a call, or an answer to a test, or neither.
     pub fn heard(&mut self, id: LinkId, about: Option<CallId>, tested: bool, now: Micros) {
         let Some(link) = self.links.get_mut(&id.server) else { return };
-        link.heard = now;
+        link.heard(now);
         match (&mut link.state, &mut link.former) {
             (State::Up(conn), former) if conn.epoch == id.epoch => {
                 link.beat = None;
@@ -527,7 +550,7 @@
                     found.push(Watch::Test(this));
                 }
                 (Way::M3ua(_), Some(at)) if silence.lasts(at + BEAT, &mut overdue) => {
-                    link.lost = Some(now);
+                    link.lost = true;
                     found.push(Watch::Reset(server, link.end(State::Down(now))));
                 }
                 (Way::M3ua(_), Some(_)) => {}
@@ -608,15 +631,16 @@
         waited
     }
 
-    /// Servers that have been out of reach for too long; each is named once.
-    pub fn out_of_reach(&mut self, now: Micros) -> Vec<OutOfReach> {
-        let late =
-            self.links.iter_mut().filter(|(_, link)| link.lost.is_some_and(|at| at + OUT_OF_REACH <= now));
-        late.map(|(server, link)| {
-            link.lost = None;
-            OutOfReach { server: *server, silent_for: now - link.heard }
-        })
-        .collect()
+    /// Servers that have been out of reach for too long; each is named once, until it gives a sign.
+    pub fn out_of_reach(&mut self, silence: Silence) -> Vec<OutOfReach> {
+        let overdue = &mut self.overdue;
+        let late = self.links.iter_mut().filter_map(|(server, link)| {
+            let at = link.out_of_reach_at()?;
+            link.given_up = silence.lasts(at, overdue);
+            let silent_for = silence.now - link.heard;
+            link.given_up.then_some(OutOfReach { server: *server, silent_for })
+        });
+        late.collect()
     }
 }
 
--- a/agent/src/net/links/tests.rs
+++ b/agent/src/net/links/tests.rs
@@ -78,7 +78,7 @@
         let conn = Conn { longest, pause, ..Conn::new(1, open(), 0) };
         let quiet = (0..8_000).find(|ms| conn.is_quiet(Pauses::default(), ms * MS)).expect("at last") * MS;
         assert!(
-            quiet >= SOON_QUIET && quiet + conn.patience(Pauses::default()) + NO_PROOF <= RELEASED + MS,
+            quiet >= SOON_QUIET && quiet + conn.patience(Pauses::default()) + NO_PROOF <= NOTICED + MS,
             "{quiet}"
         );
     }
@@ -281,3 +281,47 @@
         }
     }
 }
+
+/// Every 10 ms from `from` on, until the server counts as out of reach; when that was.
+fn given_up_at(links: &mut Links, from: Micros) -> Option<Micros> {
+    let times = (0..1_000).map(|step| from + step * 10 * MS);
+    times.into_iter().find(|now| {
+        for found in links.watch(at(*now), |_| true) {
+            match found {
+                Watch::Test(link) => drop(links.test(link, CallId(1), *now)),
+                Watch::Relieve(link, _) => drop(links.lost(link, LinkLoss::Unanswered, *now)),
+                _ => {}
+            }
+        }
+        for (link, _) in links.due(*now) {
+            links.lost(link, LinkLoss::Unanswered, *now);
+        }
+        !links.out_of_reach(at(*now)).is_empty()
+    })
+}
+
+#[test]
+fn a_server_is_out_of_reach_by_its_last_sign_however_late_its_silence_was_noticed() {
+    let first = LinkId { server: AT, epoch: 1 };
+    for pause in [1, 500, 60_000] {
+        let mut links = links();
+        links.heard(first, Some(CallId(9)), false, pause * MS);
+        let given_up = given_up_at(&mut links, pause * MS).expect("it is given up");
+        assert!(given_up - pause * MS <= OUT_OF_REACH + 10 * MS, "{pause} ms: {given_up}");
+        assert_eq!(given_up_at(&mut links, given_up), None, "once");
+    }
+}
+
+/// Guards a process that was stopped for longer than the limit: what its servers said lies unread.
+#[test]
+fn a_process_that_was_stopped_dials_before_it_takes_a_server_for_gone() {
+    let mut links = links();
+    let first = LinkId { server: AT, epoch: 1 };
+    let woken = 2 * OUT_OF_REACH;
+    links.lost(first, LinkLoss::Dropped, woken);
+    links.due(woken);
+    assert!(links.out_of_reach(at(woken + DIAL_TELLS_AFTER - MS)).is_empty());
+    let late = woken + OUT_OF_REACH;
+    assert!(links.out_of_reach(Silence { now: late, read_until: late - MS }).is_empty(), "not read yet");
+    assert_eq!(links.out_of_reach(at(late)).len(), 1);
+}
--- a/agent/src/net/owner.rs
+++ b/agent/src/net/owner.rs
@@ -401,7 +401,7 @@
                 }
             }
         }
-        for OutOfReach { server, silent_for } in self.links.out_of_reach(now) {
+        for OutOfReach { server, silent_for } in self.links.out_of_reach(silence) {
             let ended = self.core.out_of_reach(now, server);
             log::event(format_args!(
                 "server {}: out of reach, nothing heard for {:.1} s, {ended} calls there are released",
