Hear a caller out for 4 s at most where it talks on and acknowledges no release

What callers saw: a release that never came, with another connection there that would have taken it. Cause: Clients::patience_ends moved on with each word of a connection that had acknowledged a release before, without a bound, until the release was given up after 8 s. Evidence: a_release_reaches_another_caller_where_the_first_talks_on_and_never_acknowledges failed before (not told in 20 s; the log: given up, 1 connections did not acknowledge it).

--- a/core/src/clients.rs
+++ b/core/src/clients.rs
@@ -184,8 +184,8 @@
     }
 
     /// Until when the acknowledgement of a release that left at this time is waited for; `deliveries`: to so
-    /// many connections by now. A connection that is known to listen is heard out for as long as it says
-    /// anything, unless it has acknowledged a later release and so passed this one over.
+    /// many connections by now. A connection that is known to listen is heard out while it says anything, for
+    /// `MAX_PATIENCE` at most, unless it has acknowledged a later release and so passed this one over.
     pub fn patience_ends(&self, client: ClientId, sent: Micros, deliveries: usize) -> Micros {
         let Some(client) = self.clients.get(&client) else { return sent };
         let patience = |first: Micros| {
@@ -194,7 +194,8 @@
         };
         match (client.acknowledged, client.called) {
             (Some(latest), _) if latest <= sent => {
-                client.heard.map_or(sent, |heard| heard.max(sent)) + patience(PATIENCE_LISTENING)
+                let heard = client.heard.map_or(sent, |heard| heard.max(sent));
+                (heard + patience(PATIENCE_LISTENING)).min(sent + MAX_PATIENCE)
             }
             (Some(_), _) => sent + patience(PATIENCE_LISTENING),
             (None, Some(_)) => sent + patience(PATIENCE_CALLING),
