--- a/rig/src/fault_run/record.rs
+++ b/rig/src/fault_run/record.rs
@@ -40,6 +40,10 @@
     HeardRelease {
         call: u64,
     },
+    /// It has acknowledged that.
+    Acknowledged {
+        call: u64,
+    },
     /// A client that listens has a connection, or has none any more.
     Listening {
         client: u64,
@@ -117,6 +121,7 @@
             | What::Closed { call, .. }
             | What::ClientReleased { call }
             | What::HeardRelease { call }
+            | What::Acknowledged { call }
             | What::Attempt { call, .. }
             | What::AttemptGivenUp { call, .. }
             | What::AttemptRefused { call, .. }
