Tell a server on its next connection what went with the one before

Cause: a set-up that went with its connection was given up by the close alone, which an answer can cross; and a caller's release was dropped where no connection was up (Links::post, State::Down), where it waited for a dial that failed, or where it was on a connection that ended. What stood there was left standing. Evidence: three tests of agent/tests/outages.rs, all failing before: the server was told nothing on its next connection. A server that was given up as out of reach is told of the calls that were released, so that one that was only cut off does not keep them.

--- a/agent/src/net/links.rs
+++ b/agent/src/net/links.rs
@@ -14,6 +14,10 @@
 use crate::ports::dispatch::Dispatch;
 use crate::ports::{LinkId, ToServer, Way};
 
+mod untold;
+
+use untold::{RecentReleases, Untold};
+
 const FIRST_PAUSE: Micros = 100_000;
 const LONGEST_PAUSE: Micros = 1_000_000;
 /// What stood at a server that has given no sign for so long, though it was dialled, has ended: the limit for
@@ -92,6 +96,7 @@
     /// When the last word about a call came, and the mean pause between two.
     word: Micros,
     pause: Option<Micros>,
+    releases: RecentReleases,
 }
 
 impl Conn {
@@ -105,6 +110,7 @@
             longest: 0,
             word: now,
             pause: None,
+            releases: RecentReleases::default(),
         }
     }
 
@@ -118,10 +124,17 @@
             _ => None,
         };
         let owes = out.is_some() || matches!(message, ToServer::Probe(_));
+        let released = match &message {
+            ToServer::Release(call, cause) => Some((*call, *cause)),
+            _ => None,
+        };
         if !self.outbox.post(message) {
             let gone = self.outbox.is_closed();
             return Err(if gone { NotSent::Unreachable } else { NotSent::QueueFull });
         }
+        if let Some((call, cause)) = released {
+            self.releases.posted(now, call, cause);
+        }
         if owes {
             self.out.extend(out);
             self.owes.get_or_insert(now);
@@ -147,6 +160,7 @@
             self.longest = (self.longest - self.longest / FORGETS).max(now - since);
         }
         self.heard = now;
+        self.releases.heard(now);
         if about.is_some() {
             let (pause, mean) = (now - self.word, self.pause);
             self.pause = Some(mean.map_or(pause, |mean| mean - mean / WORDS + pause / WORDS));
@@ -184,9 +198,11 @@
         }
     }
 
-    fn end(self) -> Vec<CallId> {
+    fn end(self, untold: &mut Untold) -> Vec<CallId> {
         self.outbox.cut();
-        self.out.into_keys().collect()
+        let out: Vec<CallId> = self.out.into_keys().collect();
+        untold.connection_ended(&out, self.releases);
+        out
     }
 }
 
@@ -224,6 +240,8 @@
     relief_after: Micros,
     /// When another connection is dialled whatever this one does.
     follow_up: Option<Micros>,
+    /// What the server has to be told on its next connection, where it is one of the platform's.
+    untold: Untold,
     /// When a heartbeat was sent to a silent peer of the M3UA front.
     beat: Option<Micros>,
     pause: Micros,
@@ -242,12 +260,47 @@
     fn end(&mut self, next: State) -> Vec<CallId> {
         self.relief = None;
         self.beat = None;
-        let mut out = self.former.take().map(|former| former.conn.end()).unwrap_or_default();
-        if let State::Up(conn) | State::Opening(conn, _) = std::mem::replace(&mut self.state, next) {
-            out.extend(conn.end());
+        let mut out = self.end_former();
+        match std::mem::replace(&mut self.state, next) {
+            State::Up(conn) => out.extend(conn.end(&mut self.untold)),
+            State::Opening(conn, waiting) => {
+                out.extend(conn.end(&mut self.untold));
+                self.keep_releases(waiting);
+            }
+            State::Dialling(_, waiting) => self.keep_releases(waiting),
+            State::Down(_) => {}
         }
         out
     }
+
+    /// Lets go of the first connection; returns the set-ups that may have run.
+    fn end_former(&mut self) -> Vec<CallId> {
+        let former = self.former.take();
+        former.map(|former| former.conn.end(&mut self.untold)).unwrap_or_default()
+    }
+
+    fn keep_releases(&mut self, waiting: Vec<ToServer>) {
+        for message in waiting {
+            if let ToServer::Release(call, cause) = message {
+                self.untold.release(call, cause);
+            }
+        }
+    }
+
+    /// Tells the server on the connection that is up what it may not have heard.
+    fn tell_untold(&mut self, now: Micros) {
+        let Link { state: State::Up(conn), former, untold, way: Way::Platform(_), .. } = self else { return };
+        if untold.is_empty() {
+            return;
+        }
+        let former_out = |call| former.as_ref().is_some_and(|former| former.conn.out.contains_key(&call));
+        for message in untold.take(|call| conn.out.contains_key(&call) || former_out(call)) {
+            let ToServer::Release(call, cause) = message else { continue };
+            if conn.post(message, now).is_err() {
+                untold.release(call, cause);
+            }
+        }
+    }
 }
 
 impl Link {
@@ -341,6 +394,7 @@
             relief: None,
             relief_after: now,
             follow_up: None,
+            untold: Untold::default(),
             beat: None,
             pause: FIRST_PAUSE,
             lost: false,
@@ -421,8 +475,9 @@
             State::Up(conn) => {
                 link.relief = None;
                 let first = LinkId { server: id.server, epoch: conn.epoch };
-                let before = link.former.replace(Former { conn, since: now, proof: None });
-                let out = before.map(|former| former.conn.end()).unwrap_or_default();
+                let out = link.end_former();
+                link.former = Some(Former { conn, since: now, proof: None });
+                link.tell_untold(now);
                 (vec![first, id], out)
             }
             State::Dialling(_, waiting) if !waiting.is_empty() => {
@@ -432,7 +487,10 @@
                 }
                 Default::default()
             }
-            State::Dialling(..) | State::Opening(..) | State::Down(_) => Default::default(),
+            State::Dialling(..) | State::Opening(..) | State::Down(_) => {
+                link.tell_untold(now);
+                Default::default()
+            }
         }
     }
 
@@ -449,14 +507,16 @@
         }
         for (server, link) in &mut self.links {
             match std::mem::replace(&mut link.state, State::Down(now)) {
-                State::Opening(mut conn, waiting) => {
+                State::Opening(conn, waiting) => {
+                    link.state = State::Up(conn);
+                    link.tell_untold(now);
+                    let State::Up(conn) = &mut link.state else { continue };
                     for message in waiting {
                         let call = message.set_up();
                         if let Err(reason) = conn.post(message, now) {
                             left.extend(call.map(|call| (*server, call, reason)));
                         }
                     }
-                    link.state = State::Up(conn);
                 }
                 state => link.state = state,
             }
@@ -468,7 +528,7 @@
     pub fn lost(&mut self, id: LinkId, loss: LinkLoss, now: Micros) -> Vec<CallId> {
         let Some(link) = self.links.get_mut(&id.server) else { return Vec::new() };
         if link.former.as_ref().is_some_and(|former| former.conn.epoch == id.epoch) {
-            return link.former.take().map(|former| former.conn.end()).unwrap_or_default();
+            return link.end_former();
         }
         // A second connection that cannot be had tells that the first is no better.
         let was_up = matches!(loss, LinkLoss::Dropped | LinkLoss::Unreadable);
@@ -514,6 +574,7 @@
         let (now, mut overdue) = (silence.now, false);
         let mut found = Vec::new();
         for (&server, link) in &mut self.links {
+            link.tell_untold(now);
             let is_up = matches!(link.state, State::Up(_));
             let follows = is_up && link.follow_up.take_if(|at| *at <= now).is_some();
             // Where there is a second connection already, it has followed.
@@ -525,7 +586,7 @@
             if let Some(former) = link.former.as_ref().filter(|former| !former.is_well()) {
                 let until = former.proof.map_or(former.since + NO_PROOF, |at| at + GRACE);
                 if silence.lasts(until, &mut overdue) {
-                    let out = link.former.take().map(|former| former.conn.end()).unwrap_or_default();
+                    let out = link.end_former();
                     found.push(Watch::Reset(server, out));
                     found.extend(link.relieve(server, &mut self.epochs, now));
                 }
@@ -580,7 +641,13 @@
                 }
                 Ok(())
             }
-            State::Down(_) => Err(NotSent::Unreachable),
+            State::Down(_) => match message {
+                ToServer::Release(call, cause) if matches!(link.way, Way::Platform(_)) => {
+                    link.untold.release(call, cause);
+                    Ok(())
+                }
+                _ => Err(NotSent::Unreachable),
+            },
         }
     }
 
--- a/agent/tests/outages.rs
+++ b/agent/tests/outages.rs
@@ -164,3 +164,58 @@
     assert!(released.elapsed() <= RELEASED_WITHIN, "{:?}", released.elapsed());
     talking.join().expect("it talks");
 }
+
+/// What comes next about a call, whatever is said of others.
+fn next_about(server: &mut Lines, call: u64) -> String {
+    loop {
+        let message = server.next().expect("a message");
+        if message["call"] == hex(call) {
+            return message["op"].as_str().expect("text").to_string();
+        }
+    }
+}
+
+#[test]
+fn a_callers_release_is_kept_for_a_server_that_can_not_be_reached() {
+    let mut server = Narrow::new();
+    let agent = Setting::new(&[server.server.address]).start();
+    let mut first = server.only();
+    let mut caller = agent.caller();
+    stand(&mut caller, &mut first, CALL);
+    close(first.stream.try_clone().expect("clonable"));
+    caller.settle();
+    caller.say(end(CALL, 16));
+    caller.settle();
+    let mut second = server.accept();
+    assert_eq!(next_about(&mut second, CALL), "end");
+}
+
+#[test]
+fn a_callers_release_that_went_with_its_connection_is_said_again() {
+    let server = Server::new();
+    let agent = Setting::new(&[server.address]).start();
+    let mut first = server.accept();
+    let mut caller = agent.caller();
+    stand(&mut caller, &mut first, CALL);
+    caller.say(end(CALL, 16));
+    first.expect("end", CALL);
+    close(first.stream.try_clone().expect("clonable"));
+    let mut second = server.accept();
+    assert_eq!(next_about(&mut second, CALL), "end");
+}
+
+#[test]
+fn an_attempt_whose_answer_could_not_be_read_is_given_up_at_its_server() {
+    let mut server = Narrow::new();
+    let agent = Setting::new(&[server.server.address]).start();
+    let mut first = server.accept();
+    let mut caller = agent.caller();
+    caller.offer(CALL, 9_000, 0);
+    first.expect("offer", CALL);
+    first.raw(b"{\"op\":\"accept\",\"call\":\"00\n");
+    let mut second = server.only();
+    assert_eq!(next_about(&mut second, CALL), "end", "ahead of the next attempt");
+    assert_eq!(next_about(&mut second, CALL), "offer");
+    second.say(accept(CALL));
+    caller.expect("accept", CALL);
+}
--- a/core/src/relay.rs
+++ b/core/src/relay.rs
@@ -255,9 +255,16 @@
     /// A server has been out of reach for longer than what stood there can be left without a release; returns
     /// how many calls ended with that.
     pub fn out_of_reach(&mut self, now: Micros, server: ServerId) -> usize {
-        let before = self.relay.standing();
+        let at_server = |(_, standing): &(&CallId, &Standing)| standing.attempt.server == server;
+        let calls: Vec<CallId> =
+            self.relay.standing.iter().filter(at_server).map(|(call, _)| *call).collect();
         self.server_dead(now, server, Micros::MAX);
-        let ended = before - self.relay.standing();
+        let ended: Vec<CallId> =
+            calls.into_iter().filter(|call| self.relay.stands(*call).is_none()).collect();
+        // One that was only cut off still has them when it is back.
+        let release = |&call: &CallId| Effect::Release { server, call, cause: ReleaseCause::TEMPORARY };
+        self.effects.extend(ended.iter().map(release));
+        let ended = ended.len();
         self.book.counts.servers_out_of_reach += 1;
         self.book.counts.ended_out_of_reach += ended as u64;
         ended
