Wait 4 s for the first frame of a call to service discovery

What servers saw: set-ups long after service discovery had told that they drain, where it takes 3 s to answer a call. Cause: a call without a frame was given up after 2.5 s, as one that had stopped is (board/mod.rs, SILENCE), and the next one as well, so that nothing was ever told. Why it holds: a frame comes each second on a call that is served, so the 2.5 s stay for one that has brought a frame; a first frame has 4 s. With the pause (0.2 s) and a dial (1 s at most) the next call is there 5.2 s after one that was given up, within the stated 6 s.

--- a/agent/src/board/mod.rs
+++ b/agent/src/board/mod.rs
@@ -19,6 +19,9 @@
 
 /// A frame comes each second at least; without a whole one for this long the connection is taken for dead.
 const SILENCE: Duration = Duration::from_millis(2500);
+/// Until the first frame of a call it may take so long, where service discovery has much to do: a change
+/// counts as told 6 s after a call that was given up, and the next one has to be dialled and answered by then.
+const FIRST_FRAME: Duration = Duration::from_millis(4000);
 const DIAL: Duration = Duration::from_millis(1000);
 const PAUSE: Duration = Duration::from_millis(200);
 
@@ -53,15 +56,15 @@
     let mut frames = Frames::default();
     let mut bytes = [0; 4096];
     // Parts of a frame are no sign of life: a board that stops in the middle of one has stopped.
-    let mut alive = Instant::now();
+    let (mut alive, mut silence) = (Instant::now(), FIRST_FRAME);
     loop {
-        let read = timeout_at(alive + SILENCE, stream.read(&mut bytes)).await??;
+        let read = timeout_at(alive + silence, stream.read(&mut bytes)).await??;
         if read == 0 {
             return Ok(());
         }
         frames.push(&bytes[..read]);
         while let Some(frame) = frames.next()? {
-            alive = Instant::now();
+            (alive, silence) = (Instant::now(), SILENCE);
             // What was written twice is applied once: in between, something newer may have been told.
             let Some((kind, servers)) = frame.list.filter(|_| frame.number > *last) else { continue };
             let input = Input::Listed { source: Source::Board, kind, servers };
--- a/agent/tests/outages.rs
+++ b/agent/tests/outages.rs
@@ -4,6 +4,7 @@
 
 mod common;
 
+use std::net::TcpListener;
 use std::thread::JoinHandle;
 use std::time::{Duration, Instant};
 
@@ -219,3 +220,37 @@
     second.say(accept(CALL));
     caller.expect("accept", CALL);
 }
+
+/// Service discovery answers each call after 3 s, which is no end of one.
+#[test]
+fn a_drain_is_heeded_though_service_discovery_answers_its_calls_late() {
+    let (one, two) = (Server::new(), Server::new());
+    let board = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let mut setting = Setting::new(&[one.address, two.address]);
+    setting.board = Some(board.local_addr().expect("bound"));
+    let drains = record(1, one.address, 1);
+    std::thread::spawn(move || {
+        for call in board.incoming().map_while(Result::ok) {
+            let drains = frame(2, 2, std::slice::from_ref(&drains));
+            std::thread::spawn(move || {
+                pass(Duration::from_secs(3));
+                let _ = std::io::Write::write_all(&mut &call, &drains);
+                pass(PATIENCE);
+            });
+        }
+    });
+    let agent = setting.start();
+    std::thread::spawn(move || answer_all(two.listener));
+    let mut at_one = one.accept();
+    // 6 s at the latest, and 0.55 s for the drain.
+    pass(Duration::from_millis(6_550));
+    let mut caller = agent.caller();
+    for call in 1..=20 {
+        caller.offer(call, 9_000, 0);
+        caller.expect("accept", call);
+    }
+    while at_one.has_unread() {
+        let said = at_one.next().expect("a message");
+        assert_ne!(said["op"], "offer", "{said}");
+    }
+}
