--- a/agent/src/net/links/tests.rs
+++ b/agent/src/net/links/tests.rs
@@ -318,12 +318,39 @@
 #[test]
 fn a_process_that_was_stopped_dials_before_it_takes_a_server_for_gone() {
     let mut links = links();
-    let first = LinkId { server: AT, epoch: 1 };
+    links.post(AT, set_up(1), 0).expect("it is up");
     let woken = 2 * OUT_OF_REACH;
-    links.lost(first, LinkLoss::Dropped, woken);
-    links.due(woken);
-    assert!(links.out_of_reach(at(woken + DIAL_TELLS_AFTER - MS)).is_empty());
-    let late = woken + OUT_OF_REACH;
-    assert!(links.out_of_reach(Silence { now: late, read_until: late - MS }).is_empty(), "not read yet");
-    assert_eq!(links.out_of_reach(at(late)).len(), 1);
+    relief(&mut links, woken).expect("nothing has come since");
+    let told = woken + DIAL_TELLS_AFTER;
+    assert!(links.out_of_reach(at(told - MS)).is_empty(), "the dial may come up");
+    assert!(links.out_of_reach(Silence { now: told, read_until: told - MS }).is_empty(), "not read yet");
+    assert_eq!(links.out_of_reach(at(told)).len(), 1);
+}
+
+/// What a server is told to release on a connection.
+fn released(inbox: &mut conn::Inbox<ToServer>) -> Vec<CallId> {
+    let said = std::iter::from_fn(|| inbox.next_now());
+    let released = said.filter_map(|message| match message {
+        ToServer::Release(call, _) => Some(call),
+        _ => None,
+    });
+    released.collect()
+}
+
+#[test]
+fn a_server_is_told_of_what_went_with_a_connection_unless_it_is_sent_again() {
+    let mut links = links();
+    let first = LinkId { server: AT, epoch: 1 };
+    for call in [1, 2] {
+        links.post(AT, set_up(call), 0).expect("it is up");
+    }
+    let second = relief(&mut links, SOON).expect("silent");
+    let (outbox, mut inbox) = conn::channel(conn::Capacity::SERVER);
+    links.up(second, outbox, SOON);
+    assert_eq!(links.lost(first, LinkLoss::Dropped, SOON), [CallId(1), CallId(2)]);
+    links.post(AT, set_up(2), SOON).expect("it is up");
+    links.watch(at(SOON), |_| false);
+    assert_eq!(released(&mut inbox), [CallId(1)]);
+    links.watch(at(SOON), |_| false);
+    assert_eq!(released(&mut inbox), [], "once");
 }
--- a/core/src/tests.rs
+++ b/core/src/tests.rs
@@ -280,6 +280,22 @@
     assert_eq!(stand.core.counts().releases_lost, 0);
 }
 
+#[test]
+fn a_server_that_is_out_of_reach_is_told_of_the_calls_that_were_released() {
+    let mut stand = Stand::new();
+    stand.offer(8, 3_000 * MS);
+    stand.answer(ONE, 8);
+    stand.offer(9, 3_000 * MS);
+    stand.answer(TWO, 9);
+    assert_eq!(stand.core.out_of_reach(stand.now, ONE), 1);
+    let cause = ReleaseCause::TEMPORARY;
+    let (call, client) = (CallId(8), CALLER);
+    let effects = stand.core.take_effects();
+    assert!(effects.contains(&Effect::Released { client, call, cause }), "{effects:?}");
+    assert!(effects.contains(&Effect::Release { server: ONE, call, cause }), "{effects:?}");
+    assert_eq!(stand.core.standing(), 1);
+}
+
 #[test]
 fn connections_that_only_hold_a_place_are_let_go() {
     let mut stand = Stand::new();
