--- a/agent/src/board/mod.rs
+++ b/agent/src/board/mod.rs
@@ -20,8 +20,8 @@
 /// A frame comes each second at least; without a whole one for this long the connection is taken for dead.
 const SILENCE: Duration = Duration::from_millis(2500);
 /// The first frame of a call may take so long, where service discovery has much to do: a change counts as
-/// told 6 s after a call that was given up, and the next one has to be dialled and answered by then.
-const FIRST_FRAME: Duration = Duration::from_millis(4000);
+/// told 4 s after a stop, and the next call has to be made by then.
+const FIRST_FRAME: Duration = Duration::from_millis(3300);
 const DIAL: Duration = Duration::from_millis(1000);
 const PAUSE: Duration = Duration::from_millis(200);
 
