--- a/agent/src/serve.rs
+++ b/agent/src/serve.rs
@@ -8,6 +8,7 @@
 use std::rc::Rc;
 use std::sync::Arc;
 
+use steprelay_core::duty::accepts_for;
 use steprelay_core::Core;
 use steprelay_decisions::Micros;
 use tokio::net::{TcpListener, TcpStream, UdpSocket};
@@ -39,9 +40,6 @@
 /// Connections that the core has let go of, and that are not closed yet.
 const CLOSING: usize = 8;
 
-/// After SIGTERM new connections come for 0.4 s; what is accepted from then on has waited for a place.
-const LAST_CONNECTION: Duration = Duration::from_millis(800);
-
 /// Why the program cannot serve.
 #[derive(Debug, thiserror::Error)]
 pub enum ServeError {
@@ -74,6 +72,8 @@
     let (accepting, accepts) = watch::channel(Accepts::All);
     // Where the socket is inherited, SIGTERM comes when another process has it too.
     let replaced = config.inherited.is_some();
+    let longest_deadline = site.deadlines.iter().copied().max().unwrap_or_default();
+    let accepts_for = Duration::from_micros(accepts_for(longest_deadline) as u64);
     spawn_local(async move {
         if let Ok(at) = terminated.await {
             // Before anything else: what still waits in its queue is for the other process.
@@ -81,7 +81,7 @@
                 accepting.send_replace(Accepts::None);
             }
             let _ = stop.send(Input::Stop { replaced, at }).await;
-            sleep(LAST_CONNECTION).await;
+            sleep(accepts_for).await;
             accepting
                 .send_if_modified(|accepts| std::mem::replace(accepts, Accepts::Waiting) == Accepts::All);
             // Other listeners than that one are not handed on, and go on until the end.
--- a/rig/src/soak/checker.rs
+++ b/rig/src/soak/checker.rs
@@ -2,7 +2,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use super::plan::{Plan, KILL_AFTER, SERVED_UNTIL};
+use super::plan::{Plan, SERVED_UNTIL};
 use super::record::{Answer, Event, What};
 
 /// An answer that comes later than this behind its client's time is lost.
@@ -53,6 +53,7 @@
 }
 
 pub fn judge(events: &[Event], plan: &Plan) -> Findings {
+    let kill_after = plan.kill_after();
     let mut findings = Findings::default();
     let mut calls: BTreeMap<u64, Call> = BTreeMap::new();
     let mut drained: BTreeMap<u32, u64> = BTreeMap::new();
@@ -96,13 +97,13 @@
             What::Killed => {
                 over = Some(at);
                 findings.killed = true;
-                findings.broken.push(format!("the process still ran {KILL_AFTER} ms after SIGTERM"));
+                findings.broken.push(format!("the process still ran {kill_after} ms after SIGTERM"));
             }
             What::Logged { line } => findings.log.push(format!("{at} {line}")),
         }
     }
     let stopped = stopped.unwrap_or(plan.stop_at);
-    let over = over.unwrap_or(stopped + KILL_AFTER);
+    let over = over.unwrap_or(stopped + kill_after);
     // Releases can be passed on for as long as any client is connected.
     let reachable = last_client.unwrap_or(over).min(over);
     for (id, call) in calls.iter().filter(|(_, call)| call.left > 0) {
@@ -136,7 +137,7 @@
         if never_accepted && call.given_up.is_none() && !call.heard_releases.is_empty() {
             broken("ended after its final answer".into());
         }
-        let is_late = call.sent > stopped + SERVED_UNTIL && call.sent + call.left > stopped + KILL_AFTER;
+        let is_late = call.sent > stopped + SERVED_UNTIL && call.sent + call.left > stopped + kill_after;
         if is_late && !call.attempts.is_empty() {
             broken(format!("can't be carried to its end, and was sent on to {:?}", call.attempts));
         }
