--- a/rig/src/lib.rs
+++ b/rig/src/lib.rs
@@ -6,6 +6,8 @@
 //! claim.
 
 pub mod checker;
+pub mod child;
+pub mod fault_run;
 pub mod history;
 pub mod peers;
 pub mod rig;
--- a/rig/src/soak/clients.rs
+++ b/rig/src/soak/clients.rs
@@ -34,7 +34,7 @@
 }
 
 /// The end of a call, or its acknowledgement.
-fn line(op: &str, call: u64) -> Vec<u8> {
+pub(crate) fn line(op: &str, call: u64) -> Vec<u8> {
     let mut message = json!({"op": op, "call": hex(call), "with": {}});
     if op == "end" {
         message["why"] = json!(16);
