Review case 3: releases of a killed member's calls are kept by a member without callers

Cause: a member that has a release and no caller's connection keeps it until it is abandoned, and a member whose caller is connected leaves it to that one.

The stand-ins without M3UA.

--- a/review/standins/src/agent.rs
+++ b/review/standins/src/agent.rs
@@ -32,8 +32,6 @@
     child: Child,
     record: Record,
     pub address: SocketAddr,
-    /// Where M3UA is served, if it is.
-    pub m3ua: Option<SocketAddr>,
 }
 
 /// A port of this address that is free now.
@@ -43,7 +41,7 @@
 }
 
 /// A small deployment, with these check servers by their ids and addresses.
-pub fn config(listen: u16, servers: &[(u32, SocketAddr)], conn_idle_ms: u64) -> String {
+pub fn config(name: &str, listen: u16, servers: &[(u32, SocketAddr)]) -> String {
     let targets: Vec<String> = servers
         .iter()
         .map(|(id, address)| {
@@ -56,7 +54,7 @@
     let pools: Vec<String> = (0..servers.len().max(3)).map(|pool| pool.to_string()).collect();
     let (targets, pools) = (targets.join(","), pools.join(","));
     format!(
-        r#"{{"name":"n0","listen":"127.0.0.1:{listen}","seed":"52c0ffee0badcafe",
+        r#"{{"name":"{name}","listen":"127.0.0.1:{listen}","seed":"52c0ffee0badcafe",
  "limits":{{"cores":1.0,"memory_mb":192,"sockets":1024}},
  "known":{{"rev":1,"notices":[{{"rev":1,"pool":{{"rev":1,"all":true,"targets":[{targets}]}}}}]}},
  "settings":{{"groupSize":1,
@@ -65,7 +63,7 @@
               {{"name":"urgent","sloMs":800,"hardLimitMs":6000,"importance":8.0,"lateShare":0.2,
                 "idempotency":"idempotent","stream":true}}],
   "parties":[{{"name":"branch","quotaRps":200}}],
-  "policyLimits":{{"cancel":true,"mayProbe":true,"connIdleMs":{conn_idle_ms},"dialTimeoutMs":500,"tryLimit":5,
+  "policyLimits":{{"cancel":true,"mayProbe":true,"connIdleMs":600000,"dialTimeoutMs":500,"tryLimit":5,
                    "retryAfter":true,"maxRetryAfterMs":2000,"maxOpen":20000,"secondCopies":false}},
   "report":{{"how":"answers","fields":["spare","total","allowed"]}},
   "specifics":{{"layout":"groups","clearWaitMs":200,"widths":[1,1],"allowedPools":[[{pools}],[{pools}]],
@@ -106,15 +104,10 @@
                 let _ = lines.send(line);
             }
         });
-        let mut agent = Agent {
-            child,
-            record: record.clone(),
-            address: SocketAddr::from(([127, 0, 0, 1], 0)),
-            m3ua: None,
-        };
+        let mut agent =
+            Agent { child, record: record.clone(), address: SocketAddr::from(([127, 0, 0, 1], 0)) };
         let until = Instant::now() + Duration::from_secs(10);
-        let with_m3ua = arguments.contains("--m3ua");
-        while agent.address.port() == 0 || with_m3ua && agent.m3ua.is_none() {
+        while agent.address.port() == 0 {
             let left = until.saturating_duration_since(Instant::now());
             let Ok(line) = heard.recv_timeout(left) else {
                 drop(agent);
@@ -123,31 +116,14 @@
             if let Some((_, address)) = line.split_once("serving on ") {
                 agent.address = address.parse().unwrap_or(agent.address);
             }
-            if let Some((_, address)) = line.split_once("serving M3UA on ") {
-                agent.m3ua = address.parse().ok();
-            }
         }
         agent.record.note(&format!("agent {} serves", agent.child.id()));
         agent
     }
 
-    pub fn signal(&self, name: &str) {
-        self.record.note(&format!("SIG{name} to agent {}", self.child.id()));
-        kill(name, self.child.id());
-    }
-
-    /// A planned restart's first half: SIGTERM, and SIGKILL no sooner than the pages have it.
-    pub fn stop(mut self) {
-        self.signal("TERM");
-        let until = Instant::now() + Duration::from_millis(3_750);
-        while Instant::now() < until {
-            if let Ok(Some(status)) = self.child.try_wait() {
-                self.record.note(&format!("agent {} has ended: {status}", self.child.id()));
-                return;
-            }
-            crate::pause(5);
-        }
-        self.record.note("the agent has not ended in time");
+    /// Kills the process outright.
+    pub fn kill(self) {
+        self.record.note(&format!("agent {} is killed", self.child.id()));
     }
 }
 
--- a/review/standins/src/bin/refused.rs
+++ b/review/standins/src/bin/refused.rs
@@ -30,7 +30,7 @@
     let listed = [(1, servers[0].address), (2, servers[1].address)];
     let mut callers: Vec<(Agent, Caller)> = Vec::new();
     for number in 0..AGENTS {
-        let text = config(free_port(), &listed, 600_000);
+        let text = config("n0", free_port(), &listed);
         let config = file(&run.scratch, &format!("config-{number}.json"), &text);
         let agent = Agent::start(&run.root, &config, "", &run.record);
         pause(300);
--- a/review/standins/src/bin/stall.rs
+++ b/review/standins/src/bin/stall.rs
@@ -29,7 +29,7 @@
     };
     let servers = [Server::start("1", habits.clone(), &run.record), Server::start("2", habits, &run.record)];
     let listed = [(1, servers[0].address), (2, servers[1].address)];
-    let config = file(&run.scratch, "config.json", &config(free_port(), &listed, 600_000));
+    let config = file(&run.scratch, "config.json", &config("n0", free_port(), &listed));
     let agent = Agent::start(&run.root, &config, "", &run.record);
     pause(500);
     let mut caller = Caller::connect("caller", agent.address, &run.record);
--- a/review/standins/src/caller.rs
+++ b/review/standins/src/caller.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeSet;
 use std::io::{BufRead, BufReader, Write};
-use std::net::{Shutdown, SocketAddr, TcpStream};
+use std::net::{SocketAddr, TcpStream};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
@@ -123,11 +123,6 @@
             pause(5);
         }
     }
-
-    pub fn close(&mut self) {
-        self.record.note(&format!("{} closes its connection", self.name));
-        let _ = self.stream.shutdown(Shutdown::Both);
-    }
 }
 
 /// Whether a message is of this type and about this call.
--- a/review/standins/src/lib.rs
+++ b/review/standins/src/lib.rs
@@ -3,7 +3,6 @@
 pub mod agent;
 pub mod caller;
 pub mod json;
-pub mod m3ua;
 pub mod server;
 
 use std::fs::File;
--- a/review/standins/src/server.rs
+++ b/review/standins/src/server.rs
@@ -56,6 +56,8 @@
     unheard: BTreeSet<String>,
     once_more: BTreeSet<String>,
     opened: u64,
+    /// Releases that did not go out on the connection of their set-up.
+    turn: usize,
     /// Until then nothing is written; all that is due goes out afterwards.
     quiet_until: Option<Instant>,
     /// Lines that wait, with their connections.
@@ -245,8 +247,13 @@
                 continue;
             }
             (call.stage, call.released_at) = (Stage::Over, Some(self.record.now()));
-            let open = state.connections.keys().copied().max();
-            let on = Some(connection).filter(|on| state.connections.contains_key(on)).or(open);
+            // On the connection of its set-up, or else on any open one: on each of them in turn.
+            let open: Vec<u64> = state.connections.keys().copied().collect();
+            let any = open.get(state.turn % open.len().max(1)).copied();
+            let on = Some(connection).filter(|on| open.contains(on)).or_else(|| {
+                state.turn += 1;
+                any
+            });
             state.unheard.insert(id.clone());
             state.once_more.insert(id.clone());
             self.note(&format!("releases {id}, on connection {on:?}"));
