Review case 1: wait for the call agents that the script ends

Cause: the verdict came before the call agents were dropped, so that they were killed and not waited for: three defunct processes stood for a moment after each run. Check, bounds and disruption are as they were.

--- a/review/standins/src/bin/refused.rs
+++ b/review/standins/src/bin/refused.rs
@@ -88,5 +88,7 @@
             left.len()
         ));
     }
+    // Ends the call agents and waits for their ends.
+    drop(callers);
     run.verdict(&broken)
 }
