Show that timers of ended set-ups take a call agent over its memory

Cause: the timers of a set-up that has its answer are kept until their time, and nothing bounds their number.

--- a/review/standins-2/src/caller.rs
+++ b/review/standins-2/src/caller.rs
@@ -33,6 +33,7 @@
                 }
                 reads.heard.lock().expect("not poisoned").push((reads.record.now(), line.to_string()));
             });
+            wire::close(&reads.stream);
             reads.record.note(&reads.name, "its connection has ended");
         });
         Some(caller)
--- a/review/standins-2/src/main.rs
+++ b/review/standins-2/src/main.rs
@@ -31,11 +31,11 @@
     let record = record::Record::new(&folder.join("record.txt"));
     record.note("case", &format!("{case}, {} the disruption", if trouble { "with" } else { "without" }));
     let verdict = match case.as_str() {
-        "6" => cases::long_numbers::run(trouble, &temporary, &record),
+        "6" => cases::bad_client::long_numbers(trouble, &temporary, &record),
         "7" => cases::slow_board::run(trouble, &temporary, &record),
         "8" => cases::stale_release::run(trouble, &temporary, &record),
         "9" => cases::heard_and_lost::run(trouble, &temporary, &record),
-        "10" => cases::marked_id::run(trouble, &temporary, &record),
+        "10" => cases::bad_client::repeats(trouble, &temporary, &record),
         other => Verdict::CouldNotRun(format!("there is no case {other}")),
     };
     let (code, text) = match verdict {
--- a/review/standins-2/src/server.rs
+++ b/review/standins-2/src/server.rs
@@ -15,12 +15,17 @@
 const LINES: usize = 900;
 /// It can't use a number that is longer, and replies 'error'.
 const LONGEST_NUMBER: usize = 64;
+const PROCESSOR: usize = 60;
+const HOLD: Duration = Duration::from_millis(9_000);
 
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Manner {
     Sound,
     /// It refuses every set-up as its processor is full.
     Full,
+    /// It takes `PROCESSOR` set-ups a second and refuses others as its processor is full; calls stand for
+    /// `HOLD`.
+    Busy,
 }
 
 #[derive(Clone, Debug, PartialEq)]
@@ -60,6 +65,8 @@
     last: u64,
     calls: BTreeMap<String, (u64, Stage)>,
     attempts: u64,
+    /// When the set-ups of the last second were taken.
+    second: Vec<u64>,
     unheard: Vec<String>,
     events: Vec<Event>,
 }
@@ -157,11 +164,16 @@
             }
             "offer" => {
                 self.happened(&mut state, &call, What::Offered);
-                if let Manner::Full = self.manner {
+                let now = self.record.now();
+                state.second.retain(|at| at + 1_000 > now);
+                if self.manner == Manner::Full
+                    || self.manner == Manner::Busy && state.second.len() >= PROCESSOR
+                {
                     self.happened(&mut state, &call, What::Refused);
                     wire::send(stream, &refusal(&call));
                     return;
                 }
+                state.second.push(now);
                 state.attempts += 1;
                 let attempt = state.attempts;
                 state.calls.insert(call.clone(), (attempt, Stage::Open(number)));
@@ -169,6 +181,10 @@
                 spawn(move || {
                     sleep(server.answer_after);
                     server.answer(&call, attempt, number, &stream);
+                    if server.manner == Manner::Busy {
+                        sleep(HOLD);
+                        server.end_call(&call);
+                    }
                 });
             }
             "end" => match state.calls.remove(&call) {
