Show that each upgrade loses the releases of its first 0.2 s

Cause: the old process confirms releases as it reads them, lives 0.2 s after its callers have gone, and ends without having told anyone. Added: case 7 anew, which shows by an upgrade what a planned restart in a quiet time had shown; the notice board's case becomes the ninth.

--- a/review/standins-2/src/agent.rs
+++ b/review/standins-2/src/agent.rs
@@ -1,6 +1,9 @@
 //! The call agent: the deploy file's `run`, by `/bin/sh -c` from the root of the repository.
 
 use std::fs::{self, File};
+use std::net::TcpListener;
+use std::os::fd::AsRawFd;
+use std::os::unix::process::CommandExt;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, ExitStatus, Stdio};
 use std::thread::sleep;
@@ -69,6 +72,15 @@
     }
 }
 
+/// What the processes of an upgrade get: the callers' listening socket, and each a second address.
+pub struct Upgrade<'a> {
+    pub socket: &'a TcpListener,
+    pub ops: String,
+}
+
+/// The descriptor under which a process inherits the socket.
+const INHERITED: i32 = 4;
+
 /// The value of a key of the deploy file.
 fn deployed(root: &Path, key: &str) -> String {
     let text = fs::read_to_string(root.join("deploy/balancer.toml")).expect("the deploy file");
@@ -77,15 +89,21 @@
 }
 
 impl Agent {
-    /// Starts the call agent, and waits until it takes connections.
-    pub fn start(config: &Config, folder: &Path, name: &str, record: &Record) -> Option<Agent> {
+    fn spawn(
+        config: &Config,
+        folder: &Path,
+        name: &str,
+        record: &Record,
+        upgrade: Option<&Upgrade>,
+    ) -> Option<Agent> {
         let root = PathBuf::from(std::env::var_os("ROOT").expect("run.sh names the root"));
         let file = folder.join("config.json");
         fs::write(&file, config.text()).expect("a temporary file");
         let log = File::create(folder.join(format!("{name}.log"))).expect("a temporary file");
         let run = deployed(&root, "run");
         record.note("platform", &format!("starts {name}: {run}"));
-        let child = Command::new("/bin/sh")
+        let mut command = Command::new("/bin/sh");
+        command
             .args(["-c", &run])
             .current_dir(&root)
             .env("LB_NAME", "n1")
@@ -94,15 +112,25 @@
             .env("TMPDIR", folder)
             .stdin(Stdio::null())
             .stdout(log.try_clone().expect("a descriptor"))
-            .stderr(log)
-            .spawn()
-            .ok()?;
+            .stderr(log);
+        if let Some(Upgrade { socket, ops }) = upgrade {
+            let socket = socket.as_raw_fd();
+            command.env("LB_SOCKET_FD", INHERITED.to_string()).env("LB_OPS", ops);
+            // SAFETY: the two calls that follow the fork are safe there, and the descriptor is open.
+            unsafe { command.pre_exec(move || wire::inherit(socket, INHERITED)) };
+        }
+        let child = command.spawn().ok()?;
         // For run.sh, should this process be ended before the call agent.
         let pid = folder.join(format!("pid-{}", child.id()));
         fs::write(&pid, "").expect("a temporary file");
-        let mut agent = Agent { child, pid, record: record.clone() };
+        Some(Agent { child, pid, record: record.clone() })
+    }
+
+    /// Starts the call agent, and waits until it takes connections.
+    pub fn start(config: &Config, folder: &Path, name: &str, record: &Record) -> Option<Agent> {
+        let mut agent = Self::spawn(config, folder, name, record, None)?;
         let until = Instant::now() + Duration::from_secs(10);
-        while Instant::now() < until {
+        while Instant::now() < until && agent.runs() {
             if let Some(stream) = wire::dial(&config.listen) {
                 // The front's test.
                 wire::send(&stream, r#"{"op":"test","call":"00000000000000aa","with":{},"why":0}"#);
@@ -117,8 +145,30 @@
                     return Some(agent);
                 }
             }
-            if agent.child.try_wait().ok().flatten().is_some() {
-                return None;
+            sleep(Duration::from_millis(20));
+        }
+        None
+    }
+
+    /// Starts the call agent with the callers' socket of the platform, and waits until it says yes.
+    pub fn start_with(
+        config: &Config,
+        folder: &Path,
+        name: &str,
+        record: &Record,
+        with: &Upgrade,
+    ) -> Option<Agent> {
+        let mut agent = Self::spawn(config, folder, name, record, Some(with))?;
+        let until = Instant::now() + Duration::from_secs(10);
+        while Instant::now() < until && agent.runs() {
+            if let Some(stream) = wire::dial(&with.ops) {
+                wire::send(&stream, "status");
+                let mut yes = false;
+                wire::lines(&stream, |line| yes |= line.starts_with("+OK"));
+                if yes {
+                    record.note("platform", &format!("{name} says yes"));
+                    return Some(agent);
+                }
             }
             sleep(Duration::from_millis(20));
         }
--- a/review/standins-2/src/caller.rs
+++ b/review/standins-2/src/caller.rs
@@ -1,6 +1,7 @@
 //! A connection of callers: sends lines, keeps what is answered, and hears releases of calls that stood.
 
 use std::net::TcpStream;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread::{sleep, spawn};
 use std::time::{Duration, Instant};
@@ -14,6 +15,7 @@
     record: Record,
     stream: Arc<TcpStream>,
     heard: Arc<Mutex<Vec<(u64, String)>>>,
+    ended: Arc<AtomicBool>,
 }
 
 impl Caller {
@@ -21,7 +23,8 @@
         let stream = Arc::new(wire::dial(address)?);
         record.note(name, "connected");
         let heard: Arc<Mutex<Vec<(u64, String)>>> = Arc::default();
-        let caller = Caller { name: name.into(), record: record.clone(), stream, heard };
+        let caller =
+            Caller { name: name.into(), record: record.clone(), stream, heard, ended: Arc::default() };
         let reads = caller.clone();
         spawn(move || {
             wire::lines(&reads.stream, |line| {
@@ -34,6 +37,7 @@
                 reads.heard.lock().expect("not poisoned").push((reads.record.now(), line.to_string()));
             });
             wire::close(&reads.stream);
+            reads.ended.store(true, Ordering::SeqCst);
             reads.record.note(&reads.name, "its connection has ended");
         });
         Some(caller)
@@ -78,8 +82,8 @@
         }
     }
 
-    pub fn close(&self) {
-        self.record.note(&self.name, "closes its connection");
-        wire::close(&self.stream);
+    /// Whether the call agent has ended the connection.
+    pub fn has_ended(&self) -> bool {
+        self.ended.load(Ordering::SeqCst)
     }
 }
--- a/review/standins-2/src/cases/slow_board.rs
+++ b/review/standins-2/src/cases/slow_board.rs
@@ -1,4 +1,4 @@
-//! Case 7: the notice board is crowded, and answers each question after a while. A check server drains; must
+//! Case 9: the notice board is crowded, and answers each question after a while. A check server drains; must
 //! the call agent keep new work from it?
 
 use std::path::Path;
@@ -24,17 +24,17 @@
 const GRACE: u64 = 500 + 50;
 
 pub fn run(trouble: bool, folder: &Path, record: &Record) -> Verdict {
-    let drains = Server::start("server-0", "127.0.7.1", 20, Manner::Sound, record);
-    let stays = Server::start("server-1", "127.0.7.2", 20, Manner::Sound, record);
-    let board = Board::start("127.0.7.3", record);
+    let drains = Server::start("server-0", "127.0.9.1", 20, Manner::Sound, record);
+    let stays = Server::start("server-1", "127.0.9.2", 20, Manner::Sound, record);
+    let board = Board::start("127.0.9.3", record);
     if trouble {
         board.answers_after(SLOW);
     }
     let config = Config {
-        listen: wire::free_address("127.0.7.4"),
+        listen: wire::free_address("127.0.9.4"),
         board: Some(board.address.clone()),
         servers: vec![(1, drains.address.clone(), 0), (2, stays.address.clone(), 1)],
-        seed: 7,
+        seed: 9,
         memory_mb: 192,
     };
     let Some(agent) = Agent::start(&config, folder, "agent", record) else {
@@ -48,7 +48,7 @@
     let put_at = record.now();
     let mut number = 1;
     while record.now() < put_at + DRAIN {
-        caller.offer(&format!("7a{number:014x}"), "standard-check", 8_000);
+        caller.offer(&format!("9a{number:014x}"), "standard-check", 8_000);
         number += 1;
         sleep(Duration::from_millis(100));
     }
--- a/review/standins-2/src/main.rs
+++ b/review/standins-2/src/main.rs
@@ -32,9 +32,9 @@
     record.note("case", &format!("{case}, {} the disruption", if trouble { "with" } else { "without" }));
     let verdict = match case.as_str() {
         "6" => cases::bad_client::long_numbers(trouble, &temporary, &record),
-        "7" => cases::slow_board::run(trouble, &temporary, &record),
+        "7" => cases::upgrade::run(trouble, &temporary, &record),
         "8" => cases::stale_release::run(trouble, &temporary, &record),
-        "9" => cases::heard_and_lost::run(trouble, &temporary, &record),
+        "9" => cases::slow_board::run(trouble, &temporary, &record),
         "10" => cases::bad_client::repeats(trouble, &temporary, &record),
         other => Verdict::CouldNotRun(format!("there is no case {other}")),
     };
--- a/review/standins-2/src/server.rs
+++ b/review/standins-2/src/server.rs
@@ -32,7 +32,8 @@
 pub enum Stage {
     /// Read, not answered; its connection.
     Open(u64),
-    Stands,
+    /// Answered; the connection of its set-up.
+    Stands(u64),
 }
 
 #[derive(Clone, Debug, PartialEq)]
@@ -189,7 +190,7 @@
             }
             "end" => match state.calls.remove(&call) {
                 Some((_, Stage::Open(_))) => self.happened(&mut state, &call, What::GivenUp),
-                Some((_, Stage::Stands)) => {
+                Some((_, Stage::Stands(_))) => {
                     self.happened(&mut state, &call, What::ReleasedByAgent);
                     wire::send(stream, &format!("{{\"op\":\"ended\",\"call\":\"{call}\",\"with\":{{}}}}"));
                 }
@@ -211,20 +212,20 @@
         let desc = format!("{}-{attempt}-{call}", self.name);
         let answer = format!("{{\"op\":\"accept\",\"call\":\"{call}\",\"with\":{{}},\"desc\":\"{desc}\"}}");
         if wire::send(stream, &answer) {
-            state.calls.insert(call.to_string(), (attempt, Stage::Stands));
+            state.calls.insert(call.to_string(), (attempt, Stage::Stands(number)));
             self.happened(&mut state, call, What::Answered);
         }
     }
 
-    /// The call has come to its end: releases it on an open connection, if there is one.
+    /// The call has come to its end: releases it on the connection of its set-up, or else on any open one.
     pub fn end_call(&self, call: &str) -> bool {
         let mut state = self.state.lock().expect("not poisoned");
-        if !matches!(state.calls.remove(call), Some((_, Stage::Stands))) {
-            return false;
-        }
+        let Some((_, Stage::Stands(number))) = state.calls.get(call).cloned() else { return false };
+        state.calls.remove(call);
         state.unheard.push(call.to_string());
-        let open: Vec<TcpStream> =
-            state.connections.values().filter_map(|one| one.try_clone().ok()).collect();
+        let of_set_up = state.connections.get(&number).into_iter();
+        let open = of_set_up.chain(state.connections.values()).filter_map(|one| one.try_clone().ok());
+        let open: Vec<TcpStream> = open.collect();
         open.iter().any(|stream| wire::send(stream, &release(call)));
         self.happened(&mut state, call, What::ReleasedHere);
         true
@@ -249,7 +250,7 @@
 }
 
 fn group(state: &State) -> String {
-    let stand = state.calls.values().filter(|(_, stage)| *stage == Stage::Stands).count();
+    let stand = state.calls.values().filter(|(_, stage)| matches!(stage, Stage::Stands(_))).count();
     let load = format!("x0:{};x1:{LINES}", LINES - stand.min(LINES));
     format!("{{\"op\":\"group\",\"call\":\"0000000000000000\",\"with\":{{\"load\":\"{load}\"}}}}")
 }
--- a/review/standins-2/src/wire.rs
+++ b/review/standins-2/src/wire.rs
@@ -1,6 +1,6 @@
 //! Lines of the platform's protocol, and sockets.
 
-use std::io::{BufRead, BufReader, Write};
+use std::io::{self, BufRead, BufReader, Write};
 use std::net::{Shutdown, TcpListener, TcpStream};
 use std::os::fd::AsRawFd;
 use std::time::Duration;
@@ -61,12 +61,32 @@
 }
 
 extern "C" {
+    fn dup2(from: i32, to: i32) -> i32;
+    fn fcntl(descriptor: i32, command: i32, flags: i32) -> i32;
     fn setsockopt(socket: i32, level: i32, name: i32, value: *const i32, length: u32) -> i32;
 }
 
 const SOL_SOCKET: i32 = 1;
 const SO_LINGER: i32 = 13;
 
+const F_SETFD: i32 = 2;
+
+/// Has the next program of this process hold a descriptor under this number.
+pub fn inherit(descriptor: i32, number: i32) -> io::Result<()> {
+    // SAFETY: the descriptor is open; `number` is used by nobody after this.
+    let done = unsafe {
+        if descriptor == number {
+            fcntl(number, F_SETFD, 0)
+        } else {
+            dup2(descriptor, number)
+        }
+    };
+    if done < 0 {
+        return Err(io::Error::last_os_error());
+    }
+    Ok(())
+}
+
 /// Has the close of this socket reset its connection.
 pub fn reset_on_close(stream: &TcpStream) {
     let linger = [1i32, 0];
