Give case 8 more room on both sides of its resets

Cause: an answer after 20 ms could have come before the first reset on a slow machine, and a report of the server's before the second one. Added: the server answers after 60 ms, and the second reset comes 0.15 s after the answer.

--- a/review/standins-2/src/cases/stale_release.rs
+++ b/review/standins-2/src/cases/stale_release.rs
@@ -15,7 +15,7 @@
 const CALL: &str = "8a00000000000001";
 const OTHER: &str = "8a00000000000002";
 /// From the answer to the second reset.
-const AFTER_ANSWER: u64 = 300;
+const AFTER_ANSWER: u64 = 150;
 /// How long the call stands, if nobody releases it before that.
 const HOLD: u64 = 6_000;
 /// By which the caller must hear of the release, with the 50 ms of sockets.
@@ -23,7 +23,7 @@
 const RELEASED_AT_LAST: u64 = 8_050;
 
 pub fn run(trouble: bool, folder: &Path, record: &Record) -> Verdict {
-    let first = Server::start("server-0", "127.0.8.1", 20, Manner::Sound, record);
+    let first = Server::start("server-0", "127.0.8.1", 60, Manner::Sound, record);
     // The processor of the other one is full.
     let second = Server::start("server-1", "127.0.8.2", 1, Manner::Full, record);
     let proxy = Proxy::start("127.0.8.3", &first.address, record);
